--- a/src/common/json.cpp
+++ b/src/common/json.cpp
@@ -55,6 +55,16 @@
   return member != nullptr && member->is_array() ? *member : kEmpty;
 }
 
+const json& GetObject(const json& aObject, const char* aName)
+{
+  static const json kEmpty = json::object();
+  if (!aObject.is_object()) {
+    return kEmpty;
+  }
+  auto found = aObject.find(aName);
+  return found != aObject.end() && found->is_object() ? *found : kEmpty;
+}
+
 std::string Dump(const json& aValue, int aIndent)
 {
   return aValue.dump(aIndent, ' ', false, json::error_handler_t::replace);
--- a/src/common/json.h
+++ b/src/common/json.h
@@ -22,6 +22,8 @@
 bool GetBool(const json& aObject, const char* aName, bool aDefault = false);
 // An empty array when the member is missing or not an array.
 const json& GetArray(const json& aObject, const char* aName);
+// An empty object when the member is missing or not an object.
+const json& GetObject(const json& aObject, const char* aName);
 // Invalid UTF-8 is replaced, never thrown on.
 std::string Dump(const json& aValue, int aIndent = -1);
 
--- /dev/null
+++ b/src/connection/http/event_loop.cpp
@@ -0,0 +1,226 @@
+#include "connection/http/event_loop.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <poll.h>
+#include <unistd.h>
+
+namespace bamboograde::connection::http {
+
+namespace {
+
+// Token of GLib's own wake-up descriptor; no watched descriptor has it.
+constexpr uint64_t kWakeUpToken = UINT64_MAX;
+
+// GLib's poll function has no user data; a thread runs one loop.
+thread_local event_loop* tCurrent = nullptr;
+
+struct loop_source
+{
+  GSource base;
+  event_loop* loop;
+};
+
+event_loop& LoopOf(GSource* aSource)
+{
+  return *reinterpret_cast<loop_source*>(aSource)->loop;
+}
+
+} // namespace
+
+loop_timer::loop_timer(event_loop& aLoop, std::function<void()> aCallback)
+  : mLoop(aLoop)
+  , mCallback(std::move(aCallback))
+{
+}
+
+loop_timer::~loop_timer()
+{
+  Cancel();
+}
+
+void loop_timer::Arm(common::boot_time aDeadline)
+{
+  Cancel();
+  mDeadline = aDeadline;
+  mLoop.mTimers.insert(*this);
+}
+
+void loop_timer::Cancel()
+{
+  if (is_linked()) {
+    mLoop.mTimers.erase(mLoop.mTimers.iterator_to(*this));
+  }
+}
+
+event_loop::event_loop()
+  : mContext(g_main_context_new())
+  , mMainLoop(g_main_loop_new(mContext, FALSE))
+  , mEpoll(epoll_create1(EPOLL_CLOEXEC))
+{
+  static GSourceFuncs functions = { &event_loop::OnPrepare, &event_loop::OnCheck,
+                                    &event_loop::OnDispatch, nullptr, nullptr, nullptr };
+  tCurrent = this;
+  g_main_context_set_poll_func(mContext, &event_loop::Poll);
+  mSource = g_source_new(&functions, sizeof(loop_source));
+  reinterpret_cast<loop_source*>(mSource)->loop = this;
+  g_source_add_unix_fd(mSource, mEpoll, G_IO_IN);
+  g_source_attach(mSource, mContext);
+}
+
+event_loop::~event_loop()
+{
+  g_source_destroy(mSource);
+  g_source_unref(mSource);
+  g_main_loop_unref(mMainLoop);
+  g_main_context_unref(mContext);
+  close(mEpoll);
+  tCurrent = nullptr;
+}
+
+uint64_t event_loop::Watch(int aFd, io_handler* aHandler)
+{
+  uint32_t slot = 0;
+  if (mFreeSlots.empty()) {
+    slot = uint32_t(mWatched.size());
+    mWatched.emplace_back();
+  } else {
+    slot = mFreeSlots.back();
+    mFreeSlots.pop_back();
+  }
+  mWatched[slot].handler = aHandler;
+  uint64_t token = (uint64_t(mWatched[slot].generation) << 32) | slot;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = token;
+  epoll_ctl(mEpoll, EPOLL_CTL_ADD, aFd, &event);
+  return token;
+}
+
+void event_loop::Unwatch(int aFd, uint64_t aToken)
+{
+  auto slot = uint32_t(aToken);
+  epoll_ctl(mEpoll, EPOLL_CTL_DEL, aFd, nullptr);
+  mWatched[slot].handler = nullptr;
+  ++mWatched[slot].generation;
+  mFreeSlots.push_back(slot);
+}
+
+void event_loop::Defer(std::function<void()> aCallback)
+{
+  mDeferred.push_back(std::move(aCallback));
+}
+
+void event_loop::Run()
+{
+  g_main_loop_run(mMainLoop);
+}
+
+void event_loop::Quit()
+{
+  g_main_loop_quit(mMainLoop);
+}
+
+gint event_loop::TimeoutMs() const
+{
+  if (!mDeferred.empty()) {
+    return 0;
+  }
+  if (mTimers.empty()) {
+    return -1;
+  }
+  auto left = std::chrono::ceil<common::milliseconds>(mTimers.begin()->mDeadline - Now()).count();
+  return gint(std::clamp<int64_t>(left, 0, INT32_MAX));
+}
+
+gboolean event_loop::OnPrepare(GSource* aSource, gint* aTimeout)
+{
+  *aTimeout = LoopOf(aSource).TimeoutMs();
+  return FALSE;
+}
+
+gboolean event_loop::OnCheck(GSource* aSource)
+{
+  event_loop& loop = LoopOf(aSource);
+  return gboolean(loop.mEventCount > 0 || loop.TimeoutMs() == 0);
+}
+
+gboolean event_loop::OnDispatch(GSource* aSource, GSourceFunc, gpointer)
+{
+  LoopOf(aSource).Dispatch();
+  return G_SOURCE_CONTINUE;
+}
+
+gint event_loop::Poll(GPollFD* aFds, guint aCount, gint aTimeout)
+{
+  return tCurrent->Wait(aFds, aCount, aTimeout);
+}
+
+gint event_loop::Wait(GPollFD* aFds, guint aCount, gint aTimeout)
+{
+  for (guint i = 0; i < aCount; ++i) {
+    aFds[i].revents = 0;
+    if (aFds[i].fd != mEpoll && mWakeUpFd < 0) {
+      mWakeUpFd = aFds[i].fd;
+      epoll_event event{};
+      event.events = EPOLLIN;
+      event.data.u64 = kWakeUpToken;
+      epoll_ctl(mEpoll, EPOLL_CTL_ADD, mWakeUpFd, &event);
+    }
+  }
+  int count = epoll_wait(mEpoll, mEvents.data(), int(mEvents.size()), aTimeout);
+  mEventCount = std::max(count, 0);
+  int ready = 0;
+  for (guint i = 0; i < aCount; ++i) {
+    bool wanted = aFds[i].fd == mEpoll && mEventCount > 0;
+    for (int e = 0; e < mEventCount && aFds[i].fd == mWakeUpFd; ++e) {
+      wanted = wanted || mEvents[size_t(e)].data.u64 == kWakeUpToken;
+    }
+    aFds[i].revents = wanted ? G_IO_IN : 0;
+    ready += wanted ? 1 : 0;
+  }
+  return ready;
+}
+
+void event_loop::Dispatch()
+{
+  for (int i = 0; i < mEventCount; ++i) {
+    const epoll_event& event = mEvents[size_t(i)];
+    if (event.data.u64 == kWakeUpToken) {
+      continue;
+    }
+    const watched& entry = mWatched[uint32_t(event.data.u64)];
+    bool current = entry.generation == uint32_t(event.data.u64 >> 32);
+    if (current && entry.handler != nullptr) {
+      entry.handler->OnReady(event.events);
+    }
+  }
+  mEventCount = 0;
+  RunTimers();
+  RunDeferred();
+}
+
+void event_loop::RunTimers()
+{
+  common::boot_time now = Now();
+  while (!mTimers.empty() && mTimers.begin()->mDeadline <= now) {
+    loop_timer& timer = *mTimers.begin();
+    timer.Cancel();
+    // The callback may destroy the timer and with it itself.
+    auto callback = timer.mCallback;
+    callback();
+  }
+}
+
+void event_loop::RunDeferred()
+{
+  while (!mDeferred.empty()) {
+    std::vector<std::function<void()>> batch;
+    batch.swap(mDeferred);
+    for (auto& callback : batch) {
+      callback();
+    }
+  }
+}
+
+} // namespace bamboograde::connection::http
--- /dev/null
+++ b/src/connection/http/tcp_stream.cpp
@@ -0,0 +1,322 @@
+#include "connection/http/tcp_stream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bamboograde::connection::http {
+
+namespace {
+
+constexpr size_t kReadChunk = 32 * 1024;
+constexpr int kBacklog = 1024;
+// Unacknowledged output for this long ends a connection: the peer's machine is gone or cut off.
+constexpr int kUserTimeoutMs = 3000;
+// Probes of an idle connection find one that has gone silent within about four seconds.
+constexpr int kProbeAfterS = 2;
+constexpr int kProbeEveryS = 1;
+constexpr int kProbes = 2;
+
+void SetOption(int aFd, int aLevel, int aName, int aValue)
+{
+  setsockopt(aFd, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+void TuneSocket(int aFd)
+{
+  SetOption(aFd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aFd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(aFd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aFd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
+  SetOption(aFd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
+  SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+} // namespace
+
+std::optional<sockaddr_in> ParseEndpoint(const common::endpoint& aEndpoint)
+{
+  const std::string& text = aEndpoint.Str();
+  size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  uint16_t port = 0;
+  auto [stop, code] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  bool portOk = code == std::errc() && stop == text.data() + text.size();
+  if (!portOk || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  address.sin_port = htons(port);
+  return address;
+}
+
+tcp_stream::tcp_stream(event_loop& aLoop, stream_owner& aOwner, int aFd, bool aConnected)
+  : mLoop(aLoop)
+  , mOwner(&aOwner)
+  , mFd(aFd)
+  , mConnected(aConnected)
+{
+}
+
+tcp_stream::~tcp_stream()
+{
+  Close();
+}
+
+tcp_stream_ptr tcp_stream::Connect(event_loop& aLoop, stream_owner& aOwner,
+                                   const common::endpoint& aTarget)
+{
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  tcp_stream_ptr stream(new tcp_stream(aLoop, aOwner, fd, false));
+  auto address = ParseEndpoint(aTarget);
+  bool begun = false;
+  if (fd >= 0 && address.has_value()) {
+    TuneSocket(fd);
+    int code = connect(fd, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
+    begun = code == 0 || errno == EINPROGRESS;
+  }
+  if (begun) {
+    stream->mToken = aLoop.Watch(fd, stream.get());
+    stream->mWatched = true;
+  } else {
+    // The owner does not know the stream yet.
+    aLoop.Defer([stream] { stream->End(stream_end::kError); });
+  }
+  return stream;
+}
+
+tcp_stream_ptr tcp_stream::Adopt(event_loop& aLoop, stream_owner& aOwner, int aFd)
+{
+  TuneSocket(aFd);
+  return { new tcp_stream(aLoop, aOwner, aFd, true) };
+}
+
+void tcp_stream::Start()
+{
+  mToken = mLoop.Watch(mFd, this);
+  mWatched = true;
+}
+
+void tcp_stream::OnReady(uint32_t aEvents)
+{
+  tcp_stream_ptr self(this);
+  if (!mConnected) {
+    OnConnectDone();
+    if (!mConnected) {
+      return;
+    }
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    Flush();
+  }
+  if ((aEvents & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    mReadable = true;
+    Read();
+  }
+}
+
+void tcp_stream::OnConnectDone()
+{
+  int code = 0;
+  socklen_t size = sizeof(code);
+  if (getsockopt(mFd, SOL_SOCKET, SO_ERROR, &code, &size) != 0 || code != 0) {
+    End(stream_end::kError);
+    return;
+  }
+  mConnected = true;
+  mOwner->OnConnected();
+}
+
+void tcp_stream::Read()
+{
+  std::array<char, kReadChunk> chunk;
+  while (mReadable && !mReadPaused && mFd >= 0 && !mEnded) {
+    ssize_t count = recv(mFd, chunk.data(), chunk.size(), 0);
+    if (count > 0) {
+      mInput.append(chunk.data(), size_t(count));
+      // A short read has emptied the socket; the next byte raises a new event.
+      mReadable = size_t(count) == chunk.size();
+      mOwner->OnInput();
+      continue;
+    }
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    mReadable = false;
+    if (count < 0 && errno == EAGAIN) {
+      return;
+    }
+    End(count == 0 ? stream_end::kEof : stream_end::kError);
+  }
+}
+
+void tcp_stream::ResumeReading()
+{
+  if (!mReadPaused) {
+    return;
+  }
+  mReadPaused = false;
+  if (mReadable) {
+    // Deferred, since the caller may be inside a call of this stream.
+    tcp_stream_ptr self(this);
+    mLoop.Defer([self] { self->Read(); });
+  }
+}
+
+void tcp_stream::Write(std::string_view aBytes)
+{
+  if (mFd < 0) {
+    return;
+  }
+  mOutput.append(aBytes);
+  if (mConnected) {
+    Flush();
+  }
+}
+
+void tcp_stream::Flush()
+{
+  while (mFd >= 0 && Pending() > 0) {
+    ssize_t count = send(mFd, mOutput.data() + mWritten, Pending(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      // An error also shows when reading, where it is reported.
+      mAboveHighWater = mAboveHighWater || Pending() > kHighWater;
+      return;
+    }
+    mSentBytes += uint64_t(count);
+    mWritten += size_t(count);
+  }
+  mOutput.clear();
+  mWritten = 0;
+  if (mOutput.capacity() > kHighWater) {
+    mOutput.shrink_to_fit();
+  }
+  if (mFinishing && mFd >= 0) {
+    shutdown(mFd, SHUT_WR);
+    mFinishing = false;
+  }
+  if (mAboveHighWater && mFd >= 0) {
+    mAboveHighWater = false;
+    mOwner->OnWritable();
+  }
+}
+
+void tcp_stream::FinishWriting()
+{
+  mFinishing = true;
+  if (mConnected) {
+    Flush();
+  }
+}
+
+void tcp_stream::End(stream_end aEnd)
+{
+  if (mEnded || mOwner == nullptr) {
+    return;
+  }
+  mEnded = true;
+  mOwner->OnEnd(aEnd);
+}
+
+void tcp_stream::Close()
+{
+  mOwner = nullptr;
+  mEnded = true;
+  if (mFd < 0) {
+    return;
+  }
+  if (mWatched) {
+    mLoop.Unwatch(mFd, mToken);
+  }
+  close(mFd);
+  mFd = -1;
+}
+
+void tcp_stream::Reset()
+{
+  if (mFd >= 0) {
+    linger abort{ 1, 0 };
+    setsockopt(mFd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  }
+  Close();
+}
+
+tcp_listener::tcp_listener(event_loop& aLoop, accept_callback aCallback)
+  : mLoop(aLoop)
+  , mCallback(std::move(aCallback))
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+  Close();
+}
+
+common::result<void> tcp_listener::Listen(const common::endpoint& aEndpoint)
+{
+  auto address = ParseEndpoint(aEndpoint);
+  if (!address.has_value()) {
+    return common::error{ common::error_code::kInvalidInput,
+                          "\"" + aEndpoint.Str() + "\" is not IP:PORT; correct the listen address" };
+  }
+  mFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  SetOption(mFd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(mFd, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address)) != 0 ||
+      listen(mFd, kBacklog) != 0) {
+    std::string reason = std::strerror(errno);
+    close(mFd);
+    mFd = -1;
+    return common::error{ common::error_code::kUnavailable,
+                          "cannot listen at " + aEndpoint.Str() + ": " + reason };
+  }
+  mToken = mLoop.Watch(mFd, this);
+  return boost::outcome_v2::success();
+}
+
+uint16_t tcp_listener::Port() const
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(mFd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+void tcp_listener::Close()
+{
+  if (mFd < 0) {
+    return;
+  }
+  mLoop.Unwatch(mFd, mToken);
+  close(mFd);
+  mFd = -1;
+}
+
+void tcp_listener::OnReady(uint32_t)
+{
+  while (mFd >= 0) {
+    int fd = accept4(mFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      bool empty = errno == EAGAIN || errno == EINTR;
+      if (!empty) {
+        spdlog::warn("accept failed: {}", std::strerror(errno));
+      }
+      return;
+    }
+    mCallback(fd);
+  }
+}
+
+} // namespace bamboograde::connection::http
--- a/src/process/lease/lease_witness.cpp
+++ b/src/process/lease/lease_witness.cpp
@@ -35,18 +35,25 @@
 revocation_answer lease_witness::OnRevoke(const common::session_id& aSession,
                                           const common::boot_id& aMeantBoot, common::boot_time aNow)
 {
-  if (aMeantBoot != mBoot) {
-    bool earlierLapsed = mStartedAt + mTerms.WitnessTerm() <= aNow;
-    return earlierLapsed ? revocation_answer::kPromised : revocation_answer::kStillHeld;
-  }
-  session_state& state = mSessions[aSession];
-  if (state.lapsesAt > aNow) {
+  if (!MayPromise(aSession, aMeantBoot, aNow)) {
     return revocation_answer::kStillHeld;
   }
-  state.revoked = true;
+  if (aMeantBoot == mBoot) {
+    mSessions[aSession].revoked = true;
+  }
   return revocation_answer::kPromised;
 }
 
+bool lease_witness::MayPromise(const common::session_id& aSession,
+                               const common::boot_id& aMeantBoot, common::boot_time aNow) const
+{
+  if (aMeantBoot != mBoot) {
+    return mStartedAt + mTerms.WitnessTerm() <= aNow;
+  }
+  auto found = mSessions.find(aSession);
+  return found == mSessions.end() || found->second.lapsesAt <= aNow;
+}
+
 void lease_witness::Forget(const common::session_id& aSession)
 {
   auto found = mSessions.find(aSession);
--- a/src/process/lease/lease_witness.h
+++ b/src/process/lease/lease_witness.h
@@ -41,6 +41,9 @@
   // lapsed.
   revocation_answer OnRevoke(const common::session_id& aSession, const common::boot_id& aMeantBoot,
                              common::boot_time aNow);
+  // Whether OnRevoke() would promise now.
+  bool MayPromise(const common::session_id& aSession, const common::boot_id& aMeantBoot,
+                  common::boot_time aNow) const;
   // The session was released in good order: it needs no takeover.
   void Forget(const common::session_id& aSession);
   // Sessions whose last renewal here has lapsed and that nobody has released.
--- /dev/null
+++ b/src/process/sidecar/counters_page.h
@@ -0,0 +1,34 @@
+// Counters, gauges and latency histograms in the text format that collectors scrape.
+#pragma once
+
+#include "common/histogram.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace bamboograde::process::sidecar {
+
+class counters_page
+{
+public:
+  // aName may carry labels: name{label="value"}. The type is told by the part before them.
+  void Add(const std::string& aName, uint64_t aAmount = 1) { mCounters[aName] += aAmount; }
+  void Observe(const std::string& aName, common::microseconds aTime)
+  {
+    mHistograms[aName].Record(aTime);
+  }
+  // Read when the page is made.
+  void AddGauge(const std::string& aName, std::function<double()> aRead)
+  {
+    mGauges[aName] = std::move(aRead);
+  }
+  std::string Render() const;
+
+private:
+  std::map<std::string, uint64_t> mCounters;
+  std::map<std::string, common::histogram> mHistograms;
+  std::map<std::string, std::function<double()>> mGauges;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/entry_request.h
@@ -0,0 +1,94 @@
+// A request of a caller on this VM, from its arrival to its answer.
+#pragma once
+
+#include "process/sidecar/local_attempt.h"
+#include "process/sidecar/request_body.h"
+#include "process/sidecar/response_relay.h"
+#include "request/placement.h"
+#include "request/shared_budget.h"
+
+#include <set>
+
+namespace bamboograde::process::sidecar {
+
+// What all requests of this daemon's callers share.
+struct entry_context
+{
+  runtime& process;
+  upstream_gate& gate;
+  request::placement& placement;
+  // Budget of repeats, by service.
+  std::map<common::service_name, request::shared_budget>& budgets;
+  // Requests that wait for a change of a key map.
+  std::set<class entry_request*>& waiting;
+  // The daemon is stopping; its upstream may still answer.
+  const bool& stopping;
+};
+
+class entry_request
+  : public boost::intrusive_ref_counter<entry_request, boost::thread_unsafe_counter>
+  , private connection::http::exchange_observer
+  , private request::attempt_observer
+{
+public:
+  static void Handle(entry_context& aContext,
+                     const connection::http::server_exchange_ptr& aExchange);
+  ~entry_request() override = default;
+  // The key map has changed, or some time has passed: looks for the owner again.
+  void Reconsider();
+
+private:
+  entry_request(entry_context& aContext, connection::http::server_exchange_ptr aExchange);
+
+  bool Accept();
+  void Place();
+  void PlaceKeyed(const version::key_map_ptr& aMap);
+  void PlaceAnywhere();
+  void Begin(const version::member& aTarget);
+  void WaitForOwner();
+  bool MayRepeat();
+  void OnDeadline();
+  // Answers that the request has not run and will not.
+  void Reject(const char* aReason, common::microseconds aRetryAfter);
+  void Fail(int aStatus, const std::string& aReason);
+  void Respond(int aStatus, connection::http::response_head aHead);
+  void Release();
+  common::json Describe(const char* aOutcome, const std::string& aReason) const;
+
+  // exchange_observer
+  void OnRequestBody() override;
+  void OnCallerGone() override;
+  void OnResponseWritable() override;
+  // attempt_observer
+  void OnAttemptHead(connection::http::response_head& aHead) override;
+  void OnAttemptBody(std::string_view aBytes) override;
+  void OnAttemptEnd() override;
+  void OnAttemptRefused(const request::attempt_refusal& aRefusal) override;
+  void OnAttemptFailed(const request::attempt_failure& aFailure) override;
+  void OnAttemptWritable() override;
+
+  entry_context& mContext;
+  connection::http::server_exchange_ptr mExchange;
+  request_body mBody;
+  response_relay mRelay;
+  request::attempt_ptr mAttempt;
+  request::request_facts mFacts;
+  connection::http::loop_timer mDeadline;
+  common::boot_time mArrivedAt;
+  version::config_version mConfigVersion;
+  unsigned mMaxAttempts = 1;
+  // Upstreams that the request has reached, or may have.
+  unsigned mSent = 0;
+  // One of them may have run it.
+  bool mMayHaveRun = false;
+  // Placements that ended without the request being sent.
+  unsigned mRefusals = 0;
+  std::set<std::string> mTried;
+  std::string mTarget;
+  std::string mLastRefusal;
+  common::microseconds mRetryAfter{ 0 };
+  bool mPlaced = false;
+  boost::intrusive_ptr<entry_request> mSelf;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/fleet_state.cpp
@@ -0,0 +1,65 @@
+#include "process/sidecar/fleet_state.h"
+
+#include <algorithm>
+#include <spdlog/spdlog.h>
+
+namespace bamboograde::process::sidecar {
+
+bool fleet_state::ApplyMember(const version::member& aMember)
+{
+  if (!mMembers.Apply(aMember)) {
+    return false;
+  }
+  for (fleet_observer* observer : mObservers) {
+    observer->OnMemberChanged(aMember);
+  }
+  return true;
+}
+
+bool fleet_state::ApplyConfig(const common::json& aValue)
+{
+  auto decoded = mDecoder.Decode(aValue);
+  if (!decoded.has_value()) {
+    spdlog::warn("configuration ignored: {}", decoded.assume_error().message);
+    return false;
+  }
+  version::route_config_ptr config = std::move(decoded).assume_value();
+  if (mConfig != nullptr && config->Version() <= mConfig->Version()) {
+    return false;
+  }
+  mConfig = config;
+  mConfigValue = aValue;
+  for (fleet_observer* observer : mObservers) {
+    observer->OnConfigChanged();
+  }
+  return true;
+}
+
+bool fleet_state::ApplyKeyMap(const version::key_map_ptr& aMap)
+{
+  version::key_map_ptr& known = mKeyMaps[aMap->service];
+  if (known != nullptr && known->version >= aMap->version) {
+    return false;
+  }
+  known = aMap;
+  for (fleet_observer* observer : mObservers) {
+    observer->OnKeyMapChanged(aMap->service);
+  }
+  return true;
+}
+
+version::key_map_ptr fleet_state::KeyMap(const common::service_name& aService) const
+{
+  auto found = mKeyMaps.find(aService);
+  return found == mKeyMaps.end() ? nullptr : found->second;
+}
+
+size_t fleet_state::LiveMembers() const
+{
+  const auto& all = mMembers.All();
+  auto live = std::count_if(all.begin(), all.end(),
+                            [](const auto& aItem) { return !aItem.second.stopping; });
+  return size_t(std::max<int64_t>(live, 1));
+}
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/key_holder.cpp
@@ -0,0 +1,588 @@
+#include "process/sidecar/key_holder.h"
+
+#include <algorithm>
+
+namespace bamboograde::process::sidecar {
+
+namespace {
+
+// The upstream's clock may run slower than this daemon's by this share.
+constexpr double kClockSlack = 0.02;
+// A grant shorter than this is not worth sending.
+constexpr common::milliseconds kLeastHold{ 100 };
+// The acknowledgement reaches the upstream before requests for newly granted keys do.
+constexpr common::milliseconds kAcknowledgeTime{ 3 };
+// How long the owners of a service must be the same before its keys are divided for the first time.
+constexpr common::milliseconds kSettleTime{ 1200 };
+constexpr common::milliseconds kRetryJoin{ 200 };
+constexpr common::milliseconds kRenewTimeout{ 400 };
+constexpr common::milliseconds kBalancePeriod{ 500 };
+// Pause after a move, so that its effect shows before the next.
+constexpr common::milliseconds kMovePause{ 1500 };
+constexpr common::milliseconds kDecayPeriod{ 1000 };
+// An owner hands load over when it is used this much, and this much more than another.
+constexpr double kHighUse = 0.75;
+constexpr double kLeastDifference = 0.3;
+// A range with this much more load than wanted is still moved.
+constexpr float kMostExcess = 1.5F;
+
+bool Overlap(const version::key_range& aLeft, const version::key_range& aRight)
+{
+  return aLeft.first <= aRight.last && aRight.first <= aLeft.last;
+}
+
+} // namespace
+
+common::milliseconds HoldTimeFor(common::milliseconds aAnnouncePeriod)
+{
+  return aAnnouncePeriod * 2 + common::milliseconds(250);
+}
+
+lease::lease_terms LeaseTermsFor(common::milliseconds aAnnouncePeriod)
+{
+  lease::lease_terms terms;
+  terms.renewPeriod = common::milliseconds(400);
+  // A renewal may be missed without the grants getting shorter.
+  terms.term = HoldTimeFor(aAnnouncePeriod) + terms.renewPeriod * 2;
+  return terms;
+}
+
+key_holder::key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
+                       gossip& aGossip, upstream_gate& aGate, request::placement& aPlacement,
+                       common::boot_id aBoot)
+  : mRuntime(aRuntime)
+  , mEditor(aEditor)
+  , mMessenger(aMessenger)
+  , mGossip(aGossip)
+  , mGate(aGate)
+  , mPlacement(aPlacement)
+  , mBoot(std::move(aBoot))
+  , mTerms(LeaseTermsFor(aRuntime.settings.announcePeriod))
+  , mHoldTime(std::min(HoldTimeFor(aRuntime.settings.announcePeriod),
+                       aRuntime.settings.bounds.maxHold))
+  , mLease(mTerms)
+  , mKeysTimer(aRuntime.loop, [this] { mGate.SetKeys(Granted(), mGrantEnd); })
+{
+}
+
+bool key_holder::Keyed() const
+{
+  const version::route_config_ptr& config = mRuntime.fleet.Config();
+  const version::service_rule* service =
+    config == nullptr ? nullptr : config->Service(mGate.Service());
+  return service != nullptr && service->keyed;
+}
+
+const version::key_owner* key_holder::Own() const
+{
+  version::key_map_ptr map = Map();
+  return map == nullptr ? nullptr : map->Owner(mRuntime.settings.vm);
+}
+
+bool key_holder::Joined() const
+{
+  const version::key_owner* own = Own();
+  return own != nullptr && own->session == mSession && own->upstream == mIncarnation;
+}
+
+bool key_holder::Empty() const
+{
+  const version::key_owner* own = Own();
+  return own == nullptr || own->ranges.empty();
+}
+
+std::vector<version::held_range> key_holder::Granted() const
+{
+  version::key_owner kept;
+  if (Joined()) {
+    kept = *Own();
+  }
+  for (const departure& item : mDepartures) {
+    version::TakeRange(&kept, item.range);
+  }
+  return kept.ranges;
+}
+
+std::optional<grant> key_holder::OnAnnouncement(const announcement& aAnnouncement)
+{
+  version::upstream_id incarnation(aAnnouncement.id.Str() + "@" +
+                                   std::to_string(aAnnouncement.startedMs));
+  if (incarnation != mIncarnation) {
+    // A new start holds nothing. The first one that this process hears of may hold what an earlier
+    // process has granted.
+    mGrantEnd = mIncarnation.Empty() ? mRuntime.Now() + mHoldTime * 2 : common::boot_time();
+    mIncarnation = incarnation;
+    mJoinAt = {};
+    mLeaving = false;
+  }
+  if (!Keyed()) {
+    return std::nullopt;
+  }
+  if (aAnnouncement.leaving) {
+    BeginLeaving();
+  }
+  NoteReleases(aAnnouncement);
+  if (!Joined()) {
+    Tick();
+    return std::nullopt;
+  }
+  common::boot_time now = mRuntime.Now();
+  auto left = std::chrono::duration_cast<common::microseconds>(mLease.LeaseEnd() - now);
+  auto safe = common::microseconds(int64_t(double(left.count()) * (1 - 2 * kClockSlack)));
+  common::milliseconds hold =
+    std::min(mHoldTime, std::chrono::floor<common::milliseconds>(safe));
+  if (hold < kLeastHold) {
+    mRuntime.log.Write(line_class::kState, "grant_withheld", [&] {
+      return common::json{ { "lease_left_us", left.count() }, { "session", mSession.Str() } };
+    });
+    return std::nullopt;
+  }
+  grant given{ Granted(), hold };
+  common::boot_time end =
+    now + common::microseconds(int64_t(double(common::microseconds(hold).count()) *
+                                       (1 + kClockSlack)));
+  mGrantEnd = std::max(mGrantEnd, end);
+  mKeysTimer.Arm(now + kAcknowledgeTime);
+  return given;
+}
+
+void key_holder::Tick()
+{
+  if (!Keyed() || mIncarnation.Empty()) {
+    return;
+  }
+  common::boot_time now = mRuntime.Now();
+  if (now >= mDecayAt) {
+    mDecayAt = now + kDecayPeriod;
+    mGate.KeyLoad().Decay();
+  }
+  if (!Joined()) {
+    if (!mLeaving && now >= mJoinAt && mGate.Ready()) {
+      mJoinAt = now + kRetryJoin;
+      Join();
+    }
+    return;
+  }
+  if (now >= mRenewAt) {
+    mRenewAt = now + mTerms.renewPeriod;
+    Renew();
+  }
+  ReplaceLostWitnesses();
+  Divide();
+  if (now >= mBalanceAt) {
+    mBalanceAt = now + kBalancePeriod;
+    Balance();
+  }
+  if (mLeaving && mDepartures.empty() && !Empty()) {
+    BeginLeaving();
+  }
+  CommitDepartures();
+}
+
+void key_holder::Join()
+{
+  common::session_id session(common::MakeUniqueId());
+  lease::witness_set witnesses = ChooseWitnesses({});
+  bool begun = mEditor.Edit(
+    mGate.Service(),
+    [this, session, witnesses](version::key_map& aMap) {
+      version::key_owner* own = aMap.Owner(mRuntime.settings.vm);
+      if (own == nullptr) {
+        own = &aMap.owners.emplace_back();
+        own->vm = mRuntime.settings.vm;
+      }
+      // Another start of the upstream knows nothing of what the former one held.
+      if (own->upstream != mIncarnation && !own->ranges.empty()) {
+        aMap.lastFence = aMap.lastFence.Next();
+        for (version::held_range& range : own->ranges) {
+          range.token = aMap.lastFence;
+          range.handover.clear();
+        }
+      }
+      own->session = session;
+      own->upstream = mIncarnation;
+      own->witnesses = witnesses;
+      return true;
+    },
+    [this, session, witnesses](edit_outcome aOutcome) {
+      if (aOutcome != edit_outcome::kCommitted) {
+        return;
+      }
+      mSession = session;
+      mLease = lease::lease_holder(mTerms);
+      mLease.SetWitnesses(witnesses);
+      mDepartures.clear();
+      mDepartureUnknown = false;
+      PublishHeldBack();
+      mRuntime.log.Write(line_class::kState, "joined", [&] {
+        return common::json{ { "session", session.Str() }, { "upstream", mIncarnation.Str() } };
+      });
+      mGossip.Announce();
+      mRenewAt = {};
+      Tick();
+    });
+  if (!begun) {
+    mJoinAt = {};
+  }
+}
+
+lease::witness_set key_holder::ChooseWitnesses(const lease::witness_set& aKeep)
+{
+  const sidecar_settings& settings = mRuntime.settings;
+  lease::witness_candidate self;
+  self.ref = { settings.listen.control, mBoot };
+  self.zone = settings.zone;
+  std::vector<lease::witness_candidate> others;
+  common::boot_time now = mRuntime.Now();
+  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
+    if (vm != settings.vm && !member.stopping && !mPlacement.IsAvoided(vm, now)) {
+      lease::witness_candidate& other = others.emplace_back();
+      other.ref = { member.control, member.boot };
+      other.zone = member.zone;
+    }
+  }
+  return lease::ChooseWitnesses(self, others, aKeep, mRuntime.random);
+}
+
+void key_holder::Renew()
+{
+  common::boot_time now = mRuntime.Now();
+  for (const version::witness_ref& witness : mLease.Targets()) {
+    if (witness.control == mRuntime.settings.listen.control) {
+      mLease.OnRenewed(witness, now);
+      continue;
+    }
+    mMessenger.Send(witness.control, kRenewPath,
+                    { { "session", mSession.Str() }, { "witness", witness.boot.Str() } },
+                    now + kRenewTimeout,
+                    [this, witness, session = mSession,
+                     now](const common::result<common::json>& aAnswer) {
+                      OnRenewed(witness, session, now, aAnswer);
+                    });
+  }
+}
+
+void key_holder::OnRenewed(const version::witness_ref& aWitness,
+                           const common::session_id& aSession, common::boot_time aSentAt,
+                           const common::result<common::json>& aAnswer)
+{
+  if (aSession != mSession || !aAnswer.has_value()) {
+    return;
+  }
+  std::string outcome = common::GetString(aAnswer.assume_value(), "outcome");
+  if (outcome == "renewed") {
+    mLease.OnRenewed(aWitness, aSentAt);
+    return;
+  }
+  mRuntime.log.Write(line_class::kState, "renewal_refused", [&] {
+    return common::json{ { "witness", aWitness.control.Str() }, { "outcome", outcome } };
+  });
+  mLease.OnRevoked(aWitness);
+}
+
+void key_holder::ReplaceLostWitnesses()
+{
+  common::boot_time now = mRuntime.Now();
+  lease::witness_set lost = mLease.Lost(now);
+  if (lost.empty() || mLease.Changing() || mEditor.Busy()) {
+    return;
+  }
+  if (lost.size() * 2 > mLease.Witnesses().size()) {
+    // The majority is gone: a new claim with new witnesses.
+    if (now >= mJoinAt) {
+      mJoinAt = now + mTerms.renewPeriod * 2;
+      Join();
+    }
+    return;
+  }
+  if (now < mJoinAt) {
+    return;
+  }
+  mJoinAt = now + mTerms.renewPeriod * 2;
+  lease::witness_set keep;
+  for (const version::witness_ref& witness : mLease.Witnesses()) {
+    if (std::find(lost.begin(), lost.end(), witness) == lost.end()) {
+      keep.push_back(witness);
+    }
+  }
+  lease::witness_set next = ChooseWitnesses(keep);
+  bool begun = mEditor.Edit(
+    mGate.Service(),
+    [this, next](version::key_map& aMap) {
+      version::key_owner* own = aMap.Owner(mRuntime.settings.vm);
+      if (own == nullptr || own->session != mSession) {
+        return false;
+      }
+      own->witnesses = next;
+      return true;
+    },
+    [this](edit_outcome aOutcome) {
+      const version::key_owner* own = Own();
+      bool committed = aOutcome == edit_outcome::kCommitted;
+      if (aOutcome == edit_outcome::kUnknown) {
+        // Holds under both sets until a new claim settles which one counts.
+        mJoinAt = {};
+        Join();
+        return;
+      }
+      mLease.EndChange(committed && own != nullptr);
+      mRenewAt = {};
+    });
+  if (begun) {
+    mLease.BeginChange(next);
+  }
+}
+
+std::vector<version::heir> key_holder::Heirs() const
+{
+  std::vector<version::heir> heirs;
+  version::key_map_ptr map = Map();
+  common::boot_time now = mRuntime.Now();
+  for (const version::key_owner& owner : map->owners) {
+    const version::member* member = mRuntime.fleet.Members().Find(owner.vm);
+    bool usable = owner.vm != mRuntime.settings.vm && member != nullptr &&
+                  member->Serves(mGate.Service()) && !mPlacement.IsAvoided(owner.vm, now);
+    if (usable) {
+      heirs.push_back({ owner.vm, std::max(member->slots, 1U) });
+    }
+  }
+  return heirs;
+}
+
+void key_holder::Divide()
+{
+  version::key_map_ptr map = Map();
+  bool settled = mRuntime.Now() >= mOwnersChangedAt + kSettleTime;
+  if (map->Divided() || !settled || mEditor.Busy() || mLeaving) {
+    return;
+  }
+  std::vector<version::heir> heirs = Heirs();
+  bool first = std::all_of(heirs.begin(), heirs.end(), [this](const version::heir& aHeir) {
+    return mRuntime.settings.vm < aHeir.vm;
+  });
+  if (!first) {
+    return;
+  }
+  heirs.insert(heirs.begin(), { mRuntime.settings.vm, std::max(mGate.Slots(), 1U) });
+  mEditor.Edit(
+    mGate.Service(),
+    [heirs](version::key_map& aMap) {
+      if (aMap.Divided()) {
+        return false;
+      }
+      aMap.lastFence = aMap.lastFence.Next();
+      for (const auto& part :
+           version::SpreadKeys({ { 0, version::kKeyPositions - 1 } }, heirs, nullptr)) {
+        if (version::key_owner* owner = aMap.Owner(part.vm); owner != nullptr) {
+          version::GiveRange(owner, { part.range, aMap.lastFence, "" });
+        }
+      }
+      return true;
+    },
+    [this](edit_outcome) { mGossip.Announce(); });
+}
+
+void key_holder::Balance()
+{
+  common::boot_time now = mRuntime.Now();
+  if (!mDepartures.empty() || mLeaving || Empty() || !mEditor.Healthy()) {
+    return;
+  }
+  double ownUse = mGate.Utilization();
+  const version::heir* target = nullptr;
+  double least = 1e9;
+  bool mostUsed = true;
+  std::vector<version::heir> heirs = Heirs();
+  version::key_map_ptr map = Map();
+  bool targetEmpty = false;
+  for (const version::heir& candidate : heirs) {
+    bool empty = map->Owner(candidate.vm)->ranges.empty();
+    double use = empty ? 0 : mPlacement.Use(candidate.vm, now).value_or(ownUse);
+    mostUsed = mostUsed && (use < ownUse || (use == ownUse && mRuntime.settings.vm < candidate.vm));
+    // An owner without keys goes first.
+    double order = empty ? -1 : use;
+    if (order < least) {
+      least = order;
+      target = &candidate;
+      targetEmpty = empty;
+    }
+  }
+  if (target == nullptr) {
+    return;
+  }
+  least = std::max(least, 0.0);
+  bool uneven = ownUse > kHighUse && ownUse - least > kLeastDifference;
+  if (!uneven && !(targetEmpty && mostUsed)) {
+    return;
+  }
+  float total = 0;
+  for (const version::held_range& held : Own()->ranges) {
+    total += mGate.KeyLoad().Sum(held.range);
+  }
+  double share = ownUse > 0 ? (ownUse - least) / (2 * ownUse) : 0.5;
+  auto wanted = float(total * share);
+  std::optional<version::key_range> best;
+  for (const version::held_range& held : Own()->ranges) {
+    auto found = mGate.KeyLoad().Narrowest(held.range, wanted, wanted * kMostExcess);
+    if (found.has_value() && (!best.has_value() || found->Size() < best->Size())) {
+      best = found;
+    }
+  }
+  if (best.has_value() && wanted > 0) {
+    mBalanceAt = now + kMovePause;
+    Depart({ { *best, target->vm } }, targetEmpty ? "new_owner" : "uneven_load");
+  }
+}
+
+void key_holder::BeginLeaving()
+{
+  mLeaving = true;
+  if (!Joined() || !mDepartures.empty() || Empty()) {
+    return;
+  }
+  std::vector<version::heir> heirs = Heirs();
+  if (heirs.empty()) {
+    return;
+  }
+  std::vector<version::key_range> ranges;
+  for (const version::held_range& held : Own()->ranges) {
+    ranges.push_back(held.range);
+  }
+  Depart(version::SpreadKeys(ranges, heirs, &mGate.KeyLoad()), "leaving");
+}
+
+void key_holder::Depart(std::vector<version::key_assignment> aPlan, const char* aCause)
+{
+  for (const version::key_assignment& part : aPlan) {
+    mDepartures.push_back({ part.range, part.vm, "", false });
+  }
+  mRuntime.counters.Add("bamboograde_key_moves_total");
+  mRuntime.log.Write(line_class::kState, "keys_departing", [&] {
+    common::json parts = common::json::array();
+    for (const version::key_assignment& part : aPlan) {
+      parts.push_back({ part.range.first, part.range.last, part.vm });
+    }
+    return common::json{ { "cause", aCause },
+                         { "parts", std::move(parts) },
+                         { "map", Map()->version.Value() } };
+  });
+  PublishHeldBack();
+}
+
+void key_holder::PublishHeldBack()
+{
+  std::vector<version::key_range> ranges;
+  for (const departure& item : mDepartures) {
+    ranges.push_back(item.range);
+  }
+  mGate.HoldBack(std::move(ranges));
+}
+
+void key_holder::NoteReleases(const announcement& aAnnouncement)
+{
+  std::vector<departure> pieces;
+  for (departure& item : mDepartures) {
+    bool held = std::any_of(
+      aAnnouncement.holds.begin(), aAnnouncement.holds.end(),
+      [&](const version::held_range& aHeld) { return Overlap(aHeld.range, item.range); });
+    if (item.released || held) {
+      pieces.push_back(item);
+      continue;
+    }
+    item.released = true;
+    // The upstream may have let go of it in several parts, each with a handover of its own.
+    version::key_owner rest;
+    rest.ranges.push_back({ item.range, {}, "" });
+    for (const released_range& part : aAnnouncement.released) {
+      if (Overlap(part.range, item.range)) {
+        version::key_range cut = { std::max(part.range.first, item.range.first),
+                                   std::min(part.range.last, item.range.last) };
+        pieces.push_back({ cut, item.target, part.handover, true });
+        version::TakeRange(&rest, cut);
+      }
+    }
+    for (const version::held_range& left : rest.ranges) {
+      pieces.push_back({ left.range, item.target, "", true });
+    }
+  }
+  mDepartures = std::move(pieces);
+  CommitDepartures();
+}
+
+void key_holder::CommitDepartures()
+{
+  if (mDepartures.empty() || mEditor.Busy()) {
+    return;
+  }
+  bool lapsed = mRuntime.Now() >= mGrantEnd;
+  bool all = std::all_of(mDepartures.begin(), mDepartures.end(),
+                         [&](const departure& aItem) { return aItem.released || lapsed; });
+  if (!all) {
+    return;
+  }
+  mEditor.Edit(
+    mGate.Service(),
+    [this](version::key_map& aMap) {
+      version::key_owner* own = aMap.Owner(mRuntime.settings.vm);
+      if (own == nullptr || own->session != mSession) {
+        return false;
+      }
+      aMap.lastFence = aMap.lastFence.Next();
+      for (const departure& item : mDepartures) {
+        version::key_owner* target = aMap.Owner(item.target);
+        // A target that is gone: the first other owner takes the range.
+        for (version::key_owner& other : aMap.owners) {
+          target = target == nullptr && other.vm != own->vm ? &other : target;
+        }
+        if (target != nullptr) {
+          version::TakeRange(own, item.range);
+          version::GiveRange(target, { item.range, aMap.lastFence, item.handover });
+        }
+      }
+      return true;
+    },
+    [this](edit_outcome aOutcome) {
+      mDepartureUnknown = aOutcome == edit_outcome::kUnknown;
+      if (aOutcome == edit_outcome::kCommitted) {
+        FinishDepartures();
+      }
+    });
+}
+
+void key_holder::FinishDepartures()
+{
+  std::vector<departure> done;
+  done.swap(mDepartures);
+  PublishHeldBack();
+  for (const departure& item : done) {
+    const version::member* target = mRuntime.fleet.Members().Find(item.target);
+    if (target != nullptr) {
+      mGossip.AnnounceTo(target->control);
+    }
+  }
+  mGossip.Announce();
+}
+
+void key_holder::OnKeyMapChanged()
+{
+  version::key_map_ptr map = Map();
+  if (map == nullptr) {
+    return;
+  }
+  std::vector<std::string> owners;
+  for (const version::key_owner& owner : map->owners) {
+    owners.push_back(owner.vm);
+  }
+  if (owners != mKnownOwners) {
+    mKnownOwners = owners;
+    mOwnersChangedAt = mRuntime.Now();
+  }
+  // Ranges that are no longer owned here have departed, whoever committed it.
+  std::erase_if(mDepartures, [&](const departure& aItem) {
+    const version::key_owner* owner = map->Find(aItem.range.first);
+    return owner == nullptr || owner->vm != mRuntime.settings.vm;
+  });
+  PublishHeldBack();
+}
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/key_holder.h
@@ -0,0 +1,95 @@
+// The keys of the upstream beside this daemon: its claim, its lease, its grants, and moves to others.
+//
+// Keys are granted only while the lease surely lasts, for no longer than it lasts, so that whoever takes the
+// keys over after the lease also knows that the upstream has let go of them.
+#pragma once
+
+#include "process/lease/lease_holder.h"
+#include "process/lease/witness_choice.h"
+#include "process/sidecar/gossip.h"
+#include "process/sidecar/key_map_editor.h"
+#include "process/sidecar/upstream_gate.h"
+#include "version/key_plan.h"
+
+namespace bamboograde::process::sidecar {
+
+// Times of leases and grants, from the period of the upstream's announcements.
+lease::lease_terms LeaseTermsFor(common::milliseconds aAnnouncePeriod);
+common::milliseconds HoldTimeFor(common::milliseconds aAnnouncePeriod);
+
+class key_holder
+{
+public:
+  key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
+             gossip& aGossip, upstream_gate& aGate, request::placement& aPlacement,
+             common::boot_id aBoot);
+
+  // What the upstream is to hold, in answer to an announcement; empty when nothing can be promised.
+  std::optional<grant> OnAnnouncement(const announcement& aAnnouncement);
+  // The upstream or the daemon stops: everything is handed over.
+  void BeginLeaving();
+  // Owns no keys any more, or never did.
+  bool Empty() const;
+  // Call every few dozen milliseconds.
+  void Tick();
+  void OnKeyMapChanged();
+
+private:
+  // A range on its way to another owner.
+  struct departure
+  {
+    version::key_range range;
+    std::string target;
+    std::string handover;
+    bool released = false;
+  };
+
+  bool Keyed() const;
+  version::key_map_ptr Map() const { return mRuntime.fleet.KeyMap(mGate.Service()); }
+  const version::key_owner* Own() const;
+  bool Joined() const;
+  void Join();
+  lease::witness_set ChooseWitnesses(const lease::witness_set& aKeep);
+  void Renew();
+  void OnRenewed(const version::witness_ref& aWitness, const common::session_id& aSession,
+                 common::boot_time aSentAt, const common::result<common::json>& aAnswer);
+  void ReplaceLostWitnesses();
+  void Divide();
+  void Balance();
+  std::vector<version::heir> Heirs() const;
+  void Depart(std::vector<version::key_assignment> aPlan, const char* aCause);
+  void NoteReleases(const announcement& aAnnouncement);
+  void CommitDepartures();
+  void FinishDepartures();
+  void PublishHeldBack();
+  std::vector<version::held_range> Granted() const;
+
+  runtime& mRuntime;
+  key_map_editor& mEditor;
+  peer_messenger& mMessenger;
+  gossip& mGossip;
+  upstream_gate& mGate;
+  request::placement& mPlacement;
+  common::boot_id mBoot;
+  lease::lease_terms mTerms;
+  common::milliseconds mHoldTime;
+  lease::lease_holder mLease;
+  // The upstream with the start of it that is meant.
+  version::upstream_id mIncarnation;
+  common::session_id mSession;
+  std::vector<departure> mDepartures;
+  // The departures were submitted and their outcome is not known.
+  bool mDepartureUnknown = false;
+  bool mLeaving = false;
+  // Until when the upstream may hold what was granted to it.
+  common::boot_time mGrantEnd;
+  common::boot_time mRenewAt;
+  common::boot_time mJoinAt;
+  common::boot_time mBalanceAt;
+  common::boot_time mDecayAt;
+  common::boot_time mOwnersChangedAt;
+  std::vector<std::string> mKnownOwners;
+  connection::http::loop_timer mKeysTimer;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/remote_attempt.h
@@ -0,0 +1,59 @@
+// An attempt at the upstream beside another daemon, by way of that daemon's gate.
+#pragma once
+
+#include "process/sidecar/runtime.h"
+#include "request/attempt.h"
+
+namespace bamboograde::process::sidecar {
+
+// Headers between daemons; removed before anything reaches a caller or an upstream.
+constexpr char kFactsHeader[] = "Bamboograde-Facts";
+constexpr char kRefusalHeader[] = "Bamboograde-Refusal";
+constexpr char kFailureHeader[] = "Bamboograde-Failure";
+constexpr char kLoadHeader[] = "Bamboograde-Load";
+
+class remote_attempt
+  : public request::attempt
+  , private connection::http::call_observer
+{
+public:
+  remote_attempt(runtime& aRuntime, request::placement& aPlacement, const version::member& aTarget,
+                 connection::http::request_head aHead, request::request_facts aFacts,
+                 request::attempt_observer* aObserver);
+  ~remote_attempt() override;
+
+  void Start(std::string aBody, bool aBodyDone) override;
+  void SendBody(std::string_view aBytes) override { mCall->SendBody(aBytes); }
+  void FinishBody() override { mCall->FinishBody(); }
+  bool Congested() const override { return mCall->Congested(); }
+  void PauseResponse() override { mCall->PauseResponse(); }
+  void ResumeResponse() override { mCall->ResumeResponse(); }
+  void Cancel() override;
+  bool MayHaveRun() const override { return mCall != nullptr && mCall->MaySent(); }
+
+private:
+  // call_observer
+  void OnCallHead(connection::http::response_head& aHead) override;
+  void OnCallBody(std::string_view aBytes) override;
+  void OnCallEnd() override;
+  void OnCallFailed(const connection::http::call_error& aError) override;
+  void OnCallWritable() override;
+
+  void End();
+  request::attempt_observer* TakeObserver();
+
+  runtime& mRuntime;
+  request::placement& mPlacement;
+  std::string mVm;
+  common::endpoint mTarget;
+  connection::http::request_head mHead;
+  request::request_facts mFacts;
+  request::attempt_observer* mObserver;
+  connection::http::client_call_ptr mCall;
+  std::optional<request::attempt_refusal> mRefusal;
+  std::optional<request::attempt_failure> mFailure;
+  bool mAnswered = false;
+  bool mOpen = false;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/runtime.h
@@ -0,0 +1,30 @@
+// What every part of the sidecar daemon works with. Lives as long as the process.
+#pragma once
+
+#include "common/random.h"
+#include "connection/http/client_pool.h"
+#include "process/sidecar/counters_page.h"
+#include "process/sidecar/decision_log.h"
+#include "process/sidecar/fleet_state.h"
+#include "process/sidecar/sidecar_settings.h"
+#include "request/translation.h"
+
+namespace bamboograde::process::sidecar {
+
+struct runtime
+{
+  const sidecar_settings& settings;
+  connection::http::event_loop& loop;
+  const common::clock_source& clock;
+  common::random_source& random;
+  // Connections to the upstream, to other daemons and to the platform.
+  connection::http::client_pool& pool;
+  const request::header_translator& headers;
+  fleet_state& fleet;
+  decision_log& log;
+  counters_page& counters;
+
+  common::boot_time Now() const { return clock.Now(); }
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/sidecar.cpp
@@ -0,0 +1,432 @@
+#include "process/sidecar/sidecar.h"
+
+#include <algorithm>
+
+namespace bamboograde::process::sidecar {
+
+namespace {
+
+constexpr common::milliseconds kTick{ 25 };
+constexpr common::milliseconds kFlushPeriod{ 200 };
+// Requests that wait for a key's owner look again at least this often.
+constexpr common::milliseconds kReconsiderPeriod{ 50 };
+constexpr common::milliseconds kWriteTimeout{ 2000 };
+constexpr common::milliseconds kWriteRetry{ 500 };
+// After SIGTERM, callers find out that the daemon is not ready and go elsewhere within this time.
+constexpr common::milliseconds kNoticeTime{ 2500 };
+// The process ends this long before its grace time is over, whatever is in flight.
+constexpr common::milliseconds kEndMargin{ 500 };
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr char kMemberPrefix[] = "member/";
+constexpr char kMetricsPath[] = "/metrics";
+
+using connection::http::caller_limits;
+using connection::http::server_exchange_ptr;
+
+void Answer(const server_exchange_ptr& aExchange, int aStatus, const char* aType,
+            const std::string& aBody)
+{
+  connection::http::response_head head;
+  head.status = aStatus;
+  head.headers.Add("Content-Type", aType);
+  aExchange->Respond(std::move(head), aBody);
+}
+
+} // namespace
+
+// Callers on this VM.
+class sidecar::caller_listener : public connection::http::exchange_handler
+{
+public:
+  explicit caller_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  caller_limits Limits() const override
+  {
+    caller_limits limits;
+    if (const auto& config = mSidecar.mFleet.Config(); config != nullptr) {
+      limits.parse.maxHeaderBytes = config->Callers().maxHeaderBytes;
+      limits.parse.maxBodyBytes = config->Callers().maxBodyBytes;
+      limits.headerTimeout = config->Callers().headerTimeout;
+      limits.idleTimeout = config->Callers().idleTimeout;
+    }
+    limits.closing = mSidecar.mStopping;
+    return limits;
+  }
+  void OnRequest(const server_exchange_ptr& aExchange) override
+  {
+    entry_request::Handle(mSidecar.mEntry, aExchange);
+  }
+
+private:
+  sidecar& mSidecar;
+};
+
+// Other daemons' requests for the upstream.
+class sidecar::forward_listener : public connection::http::exchange_handler
+{
+public:
+  explicit forward_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  caller_limits Limits() const override { return {}; }
+  void OnRequest(const server_exchange_ptr& aExchange) override
+  {
+    forwarded_request::Handle(mSidecar.mRuntime, mSidecar.mGate, aExchange);
+  }
+
+private:
+  sidecar& mSidecar;
+};
+
+// Control messages of other daemons.
+class sidecar::control_listener : public connection::http::exchange_handler
+{
+public:
+  explicit control_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  caller_limits Limits() const override { return {}; }
+  void OnRequest(const server_exchange_ptr& aExchange) override
+  {
+    WithBody(mSidecar.mLoop, aExchange,
+             [this](const server_exchange_ptr& aWhole) { OnMessage(aWhole); });
+  }
+
+private:
+  void OnMessage(const server_exchange_ptr& aExchange)
+  {
+    auto body = common::ParseJson(aExchange->TakeBody());
+    const std::string& path = aExchange->Head().target;
+    if (!body.has_value()) {
+      Answer(aExchange, kNotFound, "application/json", "{}");
+      return;
+    }
+    common::json answer;
+    if (path == kExchangePath) {
+      answer = mSidecar.mGossip.OnExchange(body.assume_value());
+    } else if (path == kRenewPath) {
+      answer = mSidecar.mTakeover.OnRenew(body.assume_value());
+    } else if (path == kRevokePath) {
+      answer = mSidecar.mTakeover.OnRevoke(body.assume_value());
+    }
+    Answer(aExchange, answer.is_null() ? kNotFound : kOk, "application/json",
+           common::Dump(answer));
+  }
+
+  sidecar& mSidecar;
+};
+
+// Whether the daemon is ready, and its counters.
+class sidecar::readiness_listener : public connection::http::exchange_handler
+{
+public:
+  explicit readiness_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  caller_limits Limits() const override { return {}; }
+  void OnRequest(const server_exchange_ptr& aExchange) override
+  {
+    if (aExchange->Head().target == kMetricsPath) {
+      Answer(aExchange, kOk, "text/plain; version=0.0.4", mSidecar.mCounters.Render());
+      return;
+    }
+    Answer(aExchange, mSidecar.Ready() ? kOk : kUnavailable, "application/json", "{}");
+  }
+
+private:
+  sidecar& mSidecar;
+};
+
+// Members and key maps that others have stored.
+class sidecar::row_listener : public connection::row_feed_observer
+{
+public:
+  explicit row_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  void OnRow(const connection::platform_row& aRow) override
+  {
+    if (aRow.value.is_null()) {
+      return;
+    }
+    if (aRow.name.compare(0, sizeof(kMemberPrefix) - 1, kMemberPrefix) == 0) {
+      if (auto member = version::DecodeMember(aRow.value); member.has_value()) {
+        mSidecar.mFleet.ApplyMember(*member);
+      }
+    } else if (auto map = version::DecodeKeyMap(aRow.value); map != nullptr) {
+      map->version = aRow.version;
+      mSidecar.mFleet.ApplyKeyMap(map);
+    }
+  }
+
+private:
+  sidecar& mSidecar;
+};
+
+class sidecar::config_listener : public connection::row_feed_observer
+{
+public:
+  explicit config_listener(sidecar& aSidecar)
+    : mSidecar(aSidecar)
+  {
+  }
+  void OnRow(const connection::platform_row& aRow) override
+  {
+    if (aRow.name == "config" && !aRow.value.is_null()) {
+      mSidecar.mFleet.ApplyConfig(aRow.value);
+    }
+  }
+
+private:
+  sidecar& mSidecar;
+};
+
+sidecar::sidecar(const sidecar_settings& aSettings, connection::http::event_loop& aLoop,
+                 connection::http::client_pool& aPool, const version::config_decoder& aDecoder,
+                 const sidecar_ports& aPorts)
+  : mSettings(aSettings)
+  , mLoop(aLoop)
+  , mPorts(aPorts)
+  , mBoot(common::MakeUniqueId())
+  , mRandom(common::EntropySeed())
+  , mFleet(aDecoder)
+  , mLog(aSettings.vm, mClock)
+  , mRuntime{ mSettings, aLoop, mClock, mRandom, aPool, aPorts.headers, mFleet, mLog, mCounters }
+  , mPlacement(mRandom)
+  , mGate(mRuntime, mSuspects)
+  , mMessenger(mRuntime)
+  , mGossip(mRuntime, mMessenger, mSuspects)
+  , mEditor(mRuntime, aPorts.store)
+  , mKeys(mRuntime, mEditor, mMessenger, mGossip, mGate, mPlacement, mBoot)
+  , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mGossip, mPlacement, mBoot)
+  , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { TellFleet(); })
+  , mEntry{ mRuntime, mGate, mPlacement, mBudgets, mWaiting, mStopping }
+  , mCallers(std::make_unique<caller_listener>(*this))
+  , mForwards(std::make_unique<forward_listener>(*this))
+  , mControl(std::make_unique<control_listener>(*this))
+  , mReadiness(std::make_unique<readiness_listener>(*this))
+  , mRows(std::make_unique<row_listener>(*this))
+  , mConfigs(std::make_unique<config_listener>(*this))
+  , mTimer(aLoop, [this] { Tick(); })
+{
+}
+
+sidecar::~sidecar() = default;
+
+common::result<void> sidecar::Start()
+{
+  // 1. What is told about this daemon.
+  mFleet.AddObserver(this);
+  mSelf.vm = mSettings.vm;
+  mSelf.boot = mBoot;
+  mSelf.zone = mSettings.zone;
+  mSelf.forward = mSettings.listen.forwards;
+  mSelf.control = mSettings.listen.control;
+  // 2. Listeners.
+  auto listening = Listen();
+  if (!listening.has_value()) {
+    return listening;
+  }
+  // 3. Everything that others know.
+  mPorts.configuration.Start(mConfigs.get());
+  mPorts.rows.Start(mRows.get());
+  mGossip.SetLagObserver([this] {
+    mPorts.configuration.Refresh();
+    mPorts.rows.Refresh();
+  });
+  TellFleet();
+  mGossip.Start();
+  // 4. The daemon's own clockwork.
+  AddGauges();
+  Tick();
+  mLog.Write(line_class::kState, "started", [this] {
+    return common::json{ { "boot", mBoot.Str() },
+                         { "zone", mSettings.zone.Str() },
+                         { "service", mSettings.service.Str() },
+                         { "first_start", mSettings.firstStart } };
+  });
+  return boost::outcome_v2::success();
+}
+
+common::result<void> sidecar::Listen()
+{
+  struct listener_plan
+  {
+    connection::http::exchange_handler* handler;
+    const common::endpoint& address;
+  };
+  const listener_plan plans[] = { { mCallers.get(), mSettings.listen.callers },
+                                  { mForwards.get(), mSettings.listen.forwards },
+                                  { mControl.get(), mSettings.listen.control },
+                                  { mReadiness.get(), mSettings.listen.readiness },
+                                  { &mRegistry, mSettings.listen.announcements } };
+  for (const listener_plan& plan : plans) {
+    auto* handler = plan.handler;
+    mListeners.push_back(std::make_unique<connection::http::tcp_listener>(
+      mLoop, [this, handler](int aFd) {
+        connection::http::server_connection::Serve(mLoop, *handler, aFd);
+      }));
+    auto listening = mListeners.back()->Listen(plan.address);
+    if (!listening.has_value()) {
+      return listening;
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+void sidecar::AddGauges()
+{
+  mCounters.AddGauge("bamboograde_upstream_running", [this] { return mGate.Load().running; });
+  mCounters.AddGauge("bamboograde_upstream_waiting", [this] { return mGate.Load().waiting; });
+  mCounters.AddGauge("bamboograde_upstream_slots", [this] { return mGate.Load().limit; });
+  mCounters.AddGauge("bamboograde_log_lines_left_out", [this] { return double(mLog.LeftOut()); });
+  mCounters.AddGauge("bamboograde_members", [this] { return double(mFleet.LiveMembers()); });
+  mCounters.AddGauge("bamboograde_config_version", [this] {
+    return mFleet.Config() == nullptr ? 0 : double(mFleet.Config()->Version().Value());
+  });
+  mCounters.AddGauge("bamboograde_connects",
+                     [this] { return double(mRuntime.pool.Connects()); });
+}
+
+void sidecar::Tick()
+{
+  common::boot_time now = mRuntime.Now();
+  mTimer.Arm(now + kTick);
+  mGate.Tick();
+  mRegistry.Tick();
+  mKeys.Tick();
+  mTakeover.Tick();
+  if (now >= mReconsiderAt && !mWaiting.empty()) {
+    mReconsiderAt = now + kReconsiderPeriod;
+    ReconsiderWaiting();
+  }
+  if (mMemberDirty && !mMemberWriting && now >= mMemberWriteAt) {
+    WriteMember();
+  }
+  if (now >= mFlushAt) {
+    mFlushAt = now + kFlushPeriod;
+    mLog.Flush();
+  }
+  if (mStopping) {
+    EndWhenDone();
+  }
+}
+
+// Makes a new record of this daemon and spreads it.
+void sidecar::TellFleet()
+{
+  const version::member* known = mFleet.Members().Find(mSettings.vm);
+  auto unixMs = uint64_t(mClock.UnixMs());
+  // Above every earlier record, also when the time of day has been set back.
+  uint64_t last = std::max(mSelf.sequence, known == nullptr ? 0 : known->sequence);
+  mSelf.sequence = std::max(unixMs, last + 1);
+  mSelf.service = mRegistry.Current().service;
+  mSelf.upstream = mRegistry.Current().id;
+  mSelf.state = mRegistry.State();
+  mSelf.slots = mRegistry.Current().slots;
+  mSelf.stopping = mStopping;
+  mFleet.ApplyMember(mSelf);
+  mMemberDirty = true;
+  mGossip.Announce();
+}
+
+void sidecar::WriteMember()
+{
+  mMemberDirty = false;
+  mMemberWriting = true;
+  connection::transaction change;
+  change.operation = common::operation_id(common::MakeUniqueId());
+  change.writes.push_back({ kMemberPrefix + mSettings.vm, version::EncodeMember(mSelf) });
+  mPorts.store.Commit(change, mRuntime.Now() + kWriteTimeout,
+                      [this](const connection::commit_result& aResult) {
+                        mMemberWriting = false;
+                        if (aResult.outcome != connection::commit_outcome::kCommitted) {
+                          mMemberDirty = true;
+                          mMemberWriteAt = mRuntime.Now() + kWriteRetry;
+                        }
+                      });
+}
+
+void sidecar::OnMemberChanged(const version::member& aMember)
+{
+  if (aMember.vm == mSettings.vm && aMember.boot != mBoot) {
+    // A record of an earlier process at this address has turned up.
+    mLoop.Defer([this] { TellFleet(); });
+  }
+}
+
+void sidecar::OnKeyMapChanged(const common::service_name& aService)
+{
+  if (aService == mGate.Service()) {
+    mKeys.OnKeyMapChanged();
+  }
+  mLoop.Defer([this] { ReconsiderWaiting(); });
+}
+
+void sidecar::OnConfigChanged()
+{
+  mLog.Write(line_class::kState, "configuration", [this] {
+    return common::json{ { "version", mFleet.Config()->Version().Value() },
+                         { "routes", mFleet.Config()->RouteCount() } };
+  });
+}
+
+void sidecar::ReconsiderWaiting()
+{
+  std::vector<boost::intrusive_ptr<entry_request>> waiting;
+  for (entry_request* request : mWaiting) {
+    waiting.emplace_back(request);
+  }
+  for (const auto& request : waiting) {
+    if (mWaiting.count(request.get()) > 0) {
+      request->Reconsider();
+    }
+  }
+}
+
+void sidecar::Stop()
+{
+  if (mStopping) {
+    return;
+  }
+  common::boot_time now = mRuntime.Now();
+  mStopping = true;
+  mStopAt = now + mSettings.bounds.grace - kEndMargin;
+  mQuietSince = now;
+  mLog.Write(line_class::kState, "stopping", [] { return common::json::object(); });
+  TellFleet();
+  mKeys.BeginLeaving();
+}
+
+void sidecar::EndWhenDone()
+{
+  common::boot_time now = mRuntime.Now();
+  bool busy = mGate.Load().running > 0 || mGate.Load().waiting > 0 || !mWaiting.empty();
+  if (busy) {
+    mQuietSince = now;
+  }
+  bool noticed = now >= mStopAt + kEndMargin - mSettings.bounds.grace + kNoticeTime;
+  bool quiet = now >= mQuietSince + kFlushPeriod && mKeys.Empty();
+  if ((noticed && quiet) || now >= mStopAt) {
+    mLog.Write(line_class::kState, "stopped", [] { return common::json::object(); });
+    mLog.Flush();
+    mLoop.Quit();
+  }
+}
+
+void sidecar::Reload(const sidecar_settings& aSettings)
+{
+  mSettings.bounds = aSettings.bounds;
+  mSettings.seeds = aSettings.seeds;
+  mLog.Write(line_class::kState, "reloaded", [] { return common::json::object(); });
+}
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/sidecar.h
@@ -0,0 +1,104 @@
+// The sidecar daemon: entry for callers on its VM, gate of the upstream beside it, and one of the fleet.
+#pragma once
+
+#include "process/sidecar/entry_request.h"
+#include "process/sidecar/forwarded_request.h"
+#include "process/sidecar/key_takeover.h"
+#include "process/sidecar/upstream_registry.h"
+
+#include "connection/row_feed.h"
+
+#include <memory>
+
+namespace bamboograde::process::sidecar {
+
+// What the daemon's surroundings provide; chosen once, at start.
+struct sidecar_ports
+{
+  const request::header_translator& headers;
+  const upstream_codec& upstream;
+  connection::platform_store& store;
+  // Members and key maps.
+  connection::row_feed& rows;
+  // The operator's configuration.
+  connection::row_feed& configuration;
+};
+
+class sidecar
+  : private fleet_observer
+{
+public:
+  sidecar(const sidecar_settings& aSettings, connection::http::event_loop& aLoop,
+          connection::http::client_pool& aPool, const version::config_decoder& aDecoder,
+          const sidecar_ports& aPorts);
+  ~sidecar() override;
+
+  // Listens and begins to work. The error names the listener that failed.
+  common::result<void> Start();
+  // Finishes what is in flight, hands over and ends the loop before the grace time is over.
+  void Stop();
+  // Takes over settings that may change while the daemon runs.
+  void Reload(const sidecar_settings& aSettings);
+
+private:
+  class caller_listener;
+  class forward_listener;
+  class control_listener;
+  class readiness_listener;
+  class row_listener;
+  class config_listener;
+
+  void OnMemberChanged(const version::member& aMember) override;
+  void OnKeyMapChanged(const common::service_name& aService) override;
+  void OnConfigChanged() override;
+  common::result<void> Listen();
+  void AddGauges();
+  void Tick();
+  void TellFleet();
+  void WriteMember();
+  bool Ready() const { return mFleet.Config() != nullptr && !mStopping; }
+  void ReconsiderWaiting();
+  void EndWhenDone();
+
+  sidecar_settings mSettings;
+  connection::http::event_loop& mLoop;
+  sidecar_ports mPorts;
+  common::boot_id mBoot;
+  common::system_clock_source mClock;
+  common::seeded_random mRandom;
+  fleet_state mFleet;
+  decision_log mLog;
+  counters_page mCounters;
+  runtime mRuntime;
+  request::suspect_list mSuspects;
+  request::placement mPlacement;
+  upstream_gate mGate;
+  peer_messenger mMessenger;
+  gossip mGossip;
+  key_map_editor mEditor;
+  key_holder mKeys;
+  key_takeover mTakeover;
+  upstream_registry mRegistry;
+  std::map<common::service_name, request::shared_budget> mBudgets;
+  std::set<entry_request*> mWaiting;
+  bool mStopping = false;
+  entry_context mEntry;
+  std::unique_ptr<caller_listener> mCallers;
+  std::unique_ptr<forward_listener> mForwards;
+  std::unique_ptr<control_listener> mControl;
+  std::unique_ptr<readiness_listener> mReadiness;
+  std::unique_ptr<row_listener> mRows;
+  std::unique_ptr<config_listener> mConfigs;
+  std::vector<std::unique_ptr<connection::http::tcp_listener>> mListeners;
+  connection::http::loop_timer mTimer;
+  version::member mSelf;
+  bool mMemberDirty = false;
+  bool mMemberWriting = false;
+  common::boot_time mMemberWriteAt;
+  common::boot_time mFlushAt;
+  common::boot_time mReconsiderAt;
+  common::boot_time mStopAt;
+  common::boot_time mQuietSince;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/upstream_registry.h
@@ -0,0 +1,48 @@
+// Hears the upstream beside the daemon: its announcements, its leaving, and new starts of it.
+#pragma once
+
+#include "connection/http/server_connection.h"
+#include "process/sidecar/key_holder.h"
+
+namespace bamboograde::process::sidecar {
+
+// Calls back once the body of a small message has arrived.
+void WithBody(connection::http::event_loop& aLoop,
+              const connection::http::server_exchange_ptr& aExchange,
+              std::function<void(const connection::http::server_exchange_ptr&)> aCallback);
+
+class upstream_registry : public connection::http::exchange_handler
+{
+public:
+  // aOnChange: the upstream's record has changed and should be told to the fleet.
+  upstream_registry(runtime& aRuntime, const upstream_codec& aCodec, upstream_gate& aGate,
+                    key_holder& aKeys, std::function<void()> aOnChange);
+
+  connection::http::caller_limits Limits() const override;
+  void OnRequest(const connection::http::server_exchange_ptr& aExchange) override;
+
+  // What the fleet is told of the upstream.
+  version::upstream_state State() const { return mState; }
+  const announcement& Current() const { return mCurrent; }
+  // Call every few dozen milliseconds.
+  void Tick();
+
+private:
+  void OnAnnouncement(const version::upstream_id& aId,
+                      const connection::http::server_exchange_ptr& aExchange);
+  void OnGoodbye(const version::upstream_id& aId,
+                 const connection::http::server_exchange_ptr& aExchange);
+  void SetState(version::upstream_state aState);
+  bool IsStale(const announcement& aAnnouncement) const;
+
+  runtime& mRuntime;
+  const upstream_codec& mCodec;
+  upstream_gate& mGate;
+  key_holder& mKeys;
+  std::function<void()> mOnChange;
+  version::upstream_state mState = version::upstream_state::kAbsent;
+  announcement mCurrent;
+  common::boot_time mHeardAt;
+};
+
+} // namespace bamboograde::process::sidecar
--- /dev/null
+++ b/src/request/attempt.cpp
@@ -0,0 +1,108 @@
+#include "request/attempt.h"
+
+#include <array>
+
+namespace bamboograde::request {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> kRefusalNames = { "overloaded",    "no_upstream",
+                                                            "not_owner",     "unreachable",
+                                                            "crash_suspect", "upstream_refused" };
+
+int64_t MicrosLeft(common::boot_time aDeadline, common::boot_time aNow)
+{
+  return std::chrono::duration_cast<common::microseconds>(aDeadline - aNow).count();
+}
+
+int64_t GetSigned(const common::json& aObject, const char* aName)
+{
+  auto found = aObject.find(aName);
+  return found != aObject.end() && found->is_number_integer() ? found->get<int64_t>() : 0;
+}
+
+} // namespace
+
+std::string_view RefusalName(refusal_reason aReason)
+{
+  return kRefusalNames[size_t(aReason)];
+}
+
+common::json EncodeFacts(const request_facts& aFacts, common::boot_time aNow)
+{
+  common::json value = { { "id", aFacts.id.Str() },
+                         { "service", aFacts.service.Str() },
+                         { "origin", aFacts.origin.Str() },
+                         { "work", aFacts.work },
+                         { "rank", aFacts.rank },
+                         { "idempotent", aFacts.idempotent },
+                         { "left_us", MicrosLeft(aFacts.deadline, aNow) },
+                         { "target_us", MicrosLeft(aFacts.target, aNow) },
+                         { "fingerprint", aFacts.fingerprint },
+                         { "map", aFacts.mapVersion.Value() } };
+  if (aFacts.key.has_value()) {
+    value["key"] = *aFacts.key;
+  }
+  return value;
+}
+
+request_facts DecodeFacts(const common::json& aValue, common::boot_time aNow)
+{
+  request_facts facts;
+  facts.id = common::request_id(common::GetString(aValue, "id"));
+  facts.service = common::service_name(common::GetString(aValue, "service"));
+  facts.origin = common::service_name(common::GetString(aValue, "origin"));
+  facts.work = common::GetString(aValue, "work");
+  facts.rank = unsigned(common::GetNumber(aValue, "rank"));
+  facts.idempotent = common::GetBool(aValue, "idempotent");
+  facts.deadline = aNow + common::microseconds(GetSigned(aValue, "left_us"));
+  facts.target = aNow + common::microseconds(GetSigned(aValue, "target_us"));
+  facts.fingerprint = common::GetNumber(aValue, "fingerprint");
+  facts.mapVersion = common::row_version(common::GetNumber(aValue, "map"));
+  if (aValue.contains("key")) {
+    facts.key = uint32_t(common::GetNumber(aValue, "key"));
+  }
+  return facts;
+}
+
+common::json EncodeRefusal(const attempt_refusal& aRefusal)
+{
+  return { { "reason", RefusalName(aRefusal.reason) },
+           { "retry_after_us", aRefusal.retryAfter.count() } };
+}
+
+attempt_refusal DecodeRefusal(const common::json& aValue)
+{
+  attempt_refusal refusal;
+  std::string reason = common::GetString(aValue, "reason");
+  for (size_t i = 0; i < kRefusalNames.size(); ++i) {
+    if (reason == kRefusalNames[i]) {
+      refusal.reason = refusal_reason(i);
+    }
+  }
+  refusal.retryAfter = common::microseconds(GetSigned(aValue, "retry_after_us"));
+  return refusal;
+}
+
+common::json EncodeLoad(const load_report& aReport)
+{
+  return { aReport.running, aReport.waiting, aReport.limit, aReport.serviceTime.count() };
+}
+
+load_report DecodeLoad(const common::json& aValue)
+{
+  load_report report;
+  bool shape = aValue.is_array() && aValue.size() == 4;
+  for (const common::json& number : aValue) {
+    shape = shape && number.is_number_unsigned();
+  }
+  if (shape) {
+    report.running = aValue[0].get<unsigned>();
+    report.waiting = aValue[1].get<unsigned>();
+    report.limit = aValue[2].get<unsigned>();
+    report.serviceTime = common::microseconds(aValue[3].get<int64_t>());
+  }
+  return report;
+}
+
+} // namespace bamboograde::request
--- a/src/request/suspect_list.cpp
+++ b/src/request/suspect_list.cpp
@@ -19,17 +19,27 @@
   return ++item.crashes;
 }
 
-void suspect_list::Merge(uint64_t aFingerprint, unsigned aCrashes, common::boot_time aNow)
+void suspect_list::Clear(uint64_t aFingerprint)
+{
+  auto found = mCrashes.find(aFingerprint);
+  if (found != mCrashes.end()) {
+    found->second.cleared = true;
+  }
+}
+
+void suspect_list::Merge(uint64_t aFingerprint, unsigned aCrashes, common::boot_time aNow,
+                         bool aCleared)
 {
   entry& item = mCrashes[aFingerprint];
   item.crashes = std::max(item.crashes, aCrashes);
+  item.cleared = item.cleared || aCleared;
   item.expiresAt = aNow + kSuspectLifetime;
 }
 
 unsigned suspect_list::Crashes(uint64_t aFingerprint) const
 {
   auto found = mCrashes.find(aFingerprint);
-  return found == mCrashes.end() ? 0 : found->second.crashes;
+  return found == mCrashes.end() || found->second.cleared ? 0 : found->second.crashes;
 }
 
 void suspect_list::Expire(common::boot_time aNow)
@@ -41,7 +51,8 @@
 {
   common::json list = common::json::array();
   for (const auto& [fingerprint, item] : mCrashes) {
-    list.push_back({ { "fingerprint", common::ToHex(fingerprint) }, { "crashes", item.crashes } });
+    list.push_back({ { "fingerprint", common::ToHex(fingerprint) }, { "crashes", item.crashes },
+                     { "cleared", item.cleared } });
   }
   return list;
 }
@@ -54,7 +65,8 @@
   for (const common::json& item : aList) {
     uint64_t fingerprint = 0;
     if (common::FromHex(common::GetString(item, "fingerprint"), &fingerprint)) {
-      Merge(fingerprint, unsigned(common::GetNumber(item, "crashes")), aNow);
+      Merge(fingerprint, unsigned(common::GetNumber(item, "crashes")),
+            aNow, common::GetBool(item, "cleared"));
     }
   }
 }
--- /dev/null
+++ b/src/version/config_decoder.h
@@ -0,0 +1,17 @@
+// Reads a configuration in the form in which the operator wrote it.
+#pragma once
+
+#include "common/error.h"
+#include "common/json.h"
+#include "version/route_config.h"
+
+namespace bamboograde::version {
+
+class config_decoder
+{
+public:
+  virtual ~config_decoder() = default;
+  virtual common::result<route_config_ptr> Decode(const common::json& aValue) const = 0;
+};
+
+} // namespace bamboograde::version
--- /dev/null
+++ b/src/version/key_plan.h
@@ -0,0 +1,26 @@
+// Decides how keys are spread over owners.
+#pragma once
+
+#include "version/key_load.h"
+
+namespace bamboograde::version {
+
+struct heir
+{
+  std::string vm;
+  // Requests that its upstream can run at the same time.
+  unsigned slots = 1;
+};
+
+struct key_assignment
+{
+  key_range range;
+  std::string vm;
+};
+
+// Cuts the ranges into consecutive pieces, so that each heir gets load in proportion to its slots.
+// aLoad may be null; each key then weighs the same. aHeirs must not be empty.
+std::vector<key_assignment> SpreadKeys(const std::vector<key_range>& aRanges,
+                                       const std::vector<heir>& aHeirs, const key_load* aLoad);
+
+} // namespace bamboograde::version
--- /dev/null
+++ b/src/version/route_config.h
@@ -0,0 +1,88 @@
+// One immutable version of the operator's routes, services and limits on callers.
+#pragma once
+
+#include "common/clock.h"
+#include "common/ids.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboograde::version {
+
+using config_version = common::number_id<struct config_version_tag>;
+
+struct weighted_service
+{
+  common::service_name service;
+  // Share of the route's requests relative to the other services of the route.
+  double weight = 1;
+};
+
+// Requests of one host whose path begins with a prefix.
+struct route_rule
+{
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string prefix;
+  // May run more than once.
+  bool idempotent = false;
+  // The longest time that a request is kept waiting.
+  common::milliseconds timeout{ 0 };
+  // Answers within this time have their full value.
+  common::milliseconds targetLatency{ 0 };
+  // Zero is the most urgent.
+  unsigned rank = 0;
+  // Upstreams that one request may be sent to.
+  unsigned maxAttempts = 1;
+  std::vector<weighted_service> services;
+};
+
+struct service_rule
+{
+  common::service_name name;
+  // Divided by key: each key is served by the one upstream that holds it.
+  bool keyed = false;
+  // Connections that one upstream accepts.
+  unsigned maxConnections = 0;
+};
+
+struct caller_rule
+{
+  uint32_t maxHeaderBytes = 16 * 1024;
+  uint64_t maxBodyBytes = 64ULL << 20;
+  common::milliseconds headerTimeout{ 5000 };
+  common::milliseconds idleTimeout{ 15000 };
+};
+
+class route_config
+  : public boost::intrusive_ref_counter<route_config, boost::thread_unsafe_counter>
+{
+public:
+  route_config(config_version aVersion, std::vector<route_rule> aRoutes,
+               std::vector<service_rule> aServices, caller_rule aCallers);
+
+  config_version Version() const { return mVersion; }
+  // The route with the longest prefix of aPath; null when none matches.
+  const route_rule* Find(const std::string& aHost, std::string_view aPath) const;
+  // Null when the service is not configured.
+  const service_rule* Service(const common::service_name& aName) const;
+  const std::map<common::service_name, service_rule>& Services() const { return mServices; }
+  const caller_rule& Callers() const { return mCallers; }
+  size_t RouteCount() const;
+
+private:
+  config_version mVersion;
+  // Longest prefix first.
+  std::unordered_map<std::string, std::vector<route_rule>> mHosts;
+  std::map<common::service_name, service_rule> mServices;
+  caller_rule mCallers;
+};
+
+using route_config_ptr = boost::intrusive_ptr<const route_config>;
+
+} // namespace bamboograde::version
