Stop the loop from parsing a partial head for ever

Cause: UpdateReading() deferred another parse whenever input was left over, also when that input was an incomplete head, so a turn of the loop never ended. Ruled out: bytes left behind by edge-triggered reads; level-triggered sockets behaved the same and stay. Change: parse again only after reading had been held back; the source may recurse.

--- a/src/connection/http/event_loop.cpp
+++ b/src/connection/http/event_loop.cpp
@@ -65,6 +65,8 @@
   mSource = g_source_new(&functions, sizeof(loop_source));
   reinterpret_cast<loop_source*>(mSource)->loop = this;
   g_source_add_unix_fd(mSource, mEpoll, G_IO_IN);
+  // Otherwise GLib takes the descriptor out and in again around each dispatch, which wakes the loop.
+  g_source_set_can_recurse(mSource, TRUE);
   g_source_attach(mSource, mContext);
 }
 
@@ -78,7 +80,7 @@
   tCurrent = nullptr;
 }
 
-uint64_t event_loop::Watch(int aFd, io_handler* aHandler)
+uint64_t event_loop::Watch(int aFd, uint32_t aEvents, io_handler* aHandler)
 {
   uint32_t slot = 0;
   if (mFreeSlots.empty()) {
@@ -91,12 +93,20 @@
   mWatched[slot].handler = aHandler;
   uint64_t token = (uint64_t(mWatched[slot].generation) << 32) | slot;
   epoll_event event{};
-  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.events = aEvents;
   event.data.u64 = token;
   epoll_ctl(mEpoll, EPOLL_CTL_ADD, aFd, &event);
   return token;
 }
 
+void event_loop::Rewatch(int aFd, uint32_t aEvents, uint64_t aToken)
+{
+  epoll_event event{};
+  event.events = aEvents;
+  event.data.u64 = aToken;
+  epoll_ctl(mEpoll, EPOLL_CTL_MOD, aFd, &event);
+}
+
 void event_loop::Unwatch(int aFd, uint64_t aToken)
 {
   auto slot = uint32_t(aToken);
--- a/src/connection/http/event_loop.h
+++ b/src/connection/http/event_loop.h
@@ -1,7 +1,7 @@
 // One thread's sockets and timers, run by a GLib main loop.
 //
-// All sockets share one edge-triggered epoll descriptor, which is a single source of the main loop, so
-// that a turn costs one wait however many sockets are open.
+// All sockets share one epoll descriptor, which is a single source of the main loop, so that a turn costs
+// one wait however many sockets are open.
 #pragma once
 
 #include "common/clock.h"
@@ -60,8 +60,9 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  // Watches for reading and writing, edge-triggered. Returns the token for Unwatch.
-  uint64_t Watch(int aFd, io_handler* aHandler);
+  // Watches for aEvents (EPOLLIN, EPOLLOUT), level-triggered. Returns the token for the calls below.
+  uint64_t Watch(int aFd, uint32_t aEvents, io_handler* aHandler);
+  void Rewatch(int aFd, uint32_t aEvents, uint64_t aToken);
   // Call before closing the descriptor. No event is delivered afterwards, also in the current turn.
   void Unwatch(int aFd, uint64_t aToken);
 
--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -266,11 +266,14 @@
 void server_connection::UpdateReading()
 {
   if (!MayRead()) {
+    mHeldBack = true;
     mStream->PauseReading();
     return;
   }
   mStream->ResumeReading();
-  if (!mParsing && !mStream->Input().empty() && !mInputDone) {
+  // What arrived before reading was paused has not been parsed yet.
+  if (mHeldBack && !mParsing && !mInputDone) {
+    mHeldBack = false;
     boost::intrusive_ptr<server_connection> self(this);
     mLoop.Defer([self] {
       if (!self->mStream->Closed()) {
--- a/src/connection/http/server_connection.h
+++ b/src/connection/http/server_connection.h
@@ -142,6 +142,8 @@
   common::boot_time mWaitingSince;
   bool mHeadPending = false;
   bool mParsing = false;
+  // Parsing stopped because too much is outstanding.
+  bool mHeldBack = false;
   // No further request is read.
   bool mInputDone = false;
   bool mLingering = false;
--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -86,7 +86,8 @@
     begun = code == 0 || errno == EINPROGRESS;
   }
   if (begun) {
-    stream->mToken = aLoop.Watch(fd, stream.get());
+    stream->mWatchedFor = EPOLLOUT;
+    stream->mToken = aLoop.Watch(fd, stream->mWatchedFor, stream.get());
     stream->mWatched = true;
   } else {
     // The owner does not know the stream yet.
@@ -103,10 +104,25 @@
 
 void tcp_stream::Start()
 {
-  mToken = mLoop.Watch(mFd, this);
+  mWatchedFor = EPOLLIN;
+  mToken = mLoop.Watch(mFd, mWatchedFor, this);
   mWatched = true;
 }
 
+void tcp_stream::UpdateWatch()
+{
+  if (mFd < 0 || !mWatched) {
+    return;
+  }
+  bool writing = !mConnected || Pending() > 0;
+  bool reading = mConnected && !mReadPaused && !mEnded;
+  uint32_t wanted = (writing ? uint32_t(EPOLLOUT) : 0U) | (reading ? uint32_t(EPOLLIN) : 0U);
+  if (wanted != mWatchedFor) {
+    mWatchedFor = wanted;
+    mLoop.Rewatch(mFd, wanted, mToken);
+  }
+}
+
 void tcp_stream::OnReady(uint32_t aEvents)
 {
   tcp_stream_ptr self(this);
@@ -119,10 +135,10 @@
   if ((aEvents & EPOLLOUT) != 0) {
     Flush();
   }
-  if ((aEvents & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-    mReadable = true;
+  if ((aEvents & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
     Read();
   }
+  UpdateWatch();
 }
 
 void tcp_stream::OnConnectDone()
@@ -140,19 +156,19 @@
 void tcp_stream::Read()
 {
   std::array<char, kReadChunk> chunk;
-  while (mReadable && !mReadPaused && mFd >= 0 && !mEnded) {
+  while (!mReadPaused && mFd >= 0 && !mEnded) {
     ssize_t count = recv(mFd, chunk.data(), chunk.size(), 0);
     if (count > 0) {
       mInput.append(chunk.data(), size_t(count));
-      // A short read has emptied the socket; the next byte raises a new event.
-      mReadable = size_t(count) == chunk.size();
       mOwner->OnInput();
+      if (size_t(count) < chunk.size()) {
+        return;
+      }
       continue;
     }
     if (count < 0 && errno == EINTR) {
       continue;
     }
-    mReadable = false;
     if (count < 0 && errno == EAGAIN) {
       return;
     }
@@ -160,17 +176,16 @@
   }
 }
 
+void tcp_stream::PauseReading()
+{
+  mReadPaused = true;
+  UpdateWatch();
+}
+
 void tcp_stream::ResumeReading()
 {
-  if (!mReadPaused) {
-    return;
-  }
   mReadPaused = false;
-  if (mReadable) {
-    // Deferred, since the caller may be inside a call of this stream.
-    tcp_stream_ptr self(this);
-    mLoop.Defer([self] { self->Read(); });
-  }
+  UpdateWatch();
 }
 
 void tcp_stream::Write(std::string_view aBytes)
@@ -194,6 +209,7 @@
     if (count < 0) {
       // An error also shows when reading, where it is reported.
       mAboveHighWater = mAboveHighWater || Pending() > kHighWater;
+      UpdateWatch();
       return;
     }
     mSentBytes += uint64_t(count);
@@ -282,7 +298,7 @@
     return common::error{ common::error_code::kUnavailable,
                           "cannot listen at " + aEndpoint.Str() + ": " + reason };
   }
-  mToken = mLoop.Watch(mFd, this);
+  mToken = mLoop.Watch(mFd, EPOLLIN, this);
   return boost::outcome_v2::success();
 }
 
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -60,7 +60,7 @@
   // Bytes that the kernel has taken since the connection began.
   uint64_t SentBytes() const { return mSentBytes; }
   // While paused, input stays in the kernel, which makes the peer wait.
-  void PauseReading() { mReadPaused = true; }
+  void PauseReading();
   void ResumeReading();
   // Sends what is queued, then an end of stream. Input is still delivered.
   void FinishWriting();
@@ -77,16 +77,18 @@
   void Read();
   void Flush();
   void End(stream_end aEnd);
+  // Watches for what is waited for now.
+  void UpdateWatch();
 
   event_loop& mLoop;
   stream_owner* mOwner;
   int mFd;
   uint64_t mToken = 0;
   bool mWatched = false;
+  uint32_t mWatchedFor = 0;
   bool mConnected;
   uint64_t mSentBytes = 0;
   bool mReadPaused = false;
-  bool mReadable = false;
   bool mEnded = false;
   bool mFinishing = false;
   bool mAboveHighWater = false;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr common::milliseconds kTick{ 25 };
+// A longer gap between ticks is logged: the process was frozen, starved or busy.
+constexpr common::milliseconds kLateTick{ 250 };
 constexpr common::milliseconds kFlushPeriod{ 200 };
 // Requests that wait for a key's owner look again at least this often.
 constexpr common::milliseconds kReconsiderPeriod{ 50 };
@@ -299,6 +301,13 @@
 void sidecar::Tick()
 {
   common::boot_time now = mRuntime.Now();
+  if (mTickedAt != common::boot_time() && now - mTickedAt > kLateTick) {
+    mLog.Write(line_class::kState, "loop_late", [&] {
+      auto late = std::chrono::duration_cast<common::microseconds>(now - mTickedAt);
+      return common::json{ { "gap_us", late.count() } };
+    });
+  }
+  mTickedAt = now;
   mTimer.Arm(now + kTick);
   mGate.Tick();
   mRegistry.Tick();
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -95,6 +95,7 @@
   bool mMemberDirty = false;
   bool mMemberWriting = false;
   common::boot_time mMemberWriteAt;
+  common::boot_time mTickedAt;
   common::boot_time mFlushAt;
   common::boot_time mReconsiderAt;
   common::boot_time mStopAt;
--- a/src/process/sidecar/signal_watch.cpp
+++ b/src/process/sidecar/signal_watch.cpp
@@ -26,7 +26,7 @@
     return;
   }
   gSignalPipe = mPipe[1];
-  mToken = mLoop.Watch(mPipe[0], this);
+  mToken = mLoop.Watch(mPipe[0], EPOLLIN, this);
   for (int number : { SIGTERM, SIGINT, SIGHUP }) {
     struct sigaction action = {};
     action.sa_handler = &OnSignal;
