Finish every request before the process ends after SIGTERM

Cause: the end waited for the gate only, not for requests that this daemon had sent to others, and went on taking requests from open connections until it was gone.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -66,6 +66,7 @@
 {
   boost::intrusive_ptr<entry_request> self(new entry_request(aContext, aExchange));
   self->mSelf = self;
+  ++aContext.process.inFlight;
   aExchange->SetObserver(self.get());
   if (self->Accept() && self->mBody.Placeable()) {
     self->Place();
@@ -81,8 +82,8 @@
   request::caller_facts caller = process.headers.ReadCaller(head.headers);
   mFacts.id = caller.id;
   mFacts.deadline = mArrivedAt + caller.patience.value_or(kDefaultPatience);
-  if (config == nullptr) {
-    Reject("no_configuration", kFirstRetryAfter);
+  if (config == nullptr || mContext.closing) {
+    Reject(mContext.closing ? "stopping" : "no_configuration", kFirstRetryAfter);
     return false;
   }
   mConfigVersion = config->Version();
@@ -435,6 +436,7 @@
   if (mSelf != nullptr) {
     mContext.process.loop.Defer([self = mSelf] {});
     mSelf.reset();
+    --mContext.process.inFlight;
   }
 }
 
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -21,8 +21,8 @@
   std::map<common::service_name, request::shared_budget>& budgets;
   // Requests that wait for a change of a key map.
   std::set<class entry_request*>& waiting;
-  // The daemon is stopping; its upstream may still answer.
-  const bool& stopping;
+  // The daemon ends soon: whoever still comes is sent away.
+  const bool& closing;
 };
 
 class entry_request
--- a/src/process/sidecar/forwarded_request.cpp
+++ b/src/process/sidecar/forwarded_request.cpp
@@ -28,6 +28,7 @@
   boost::intrusive_ptr<forwarded_request> self(
     new forwarded_request(aRuntime, aGate, aExchange));
   self->mSelf = self;
+  ++aRuntime.inFlight;
   aExchange->SetObserver(self.get());
   if (self->mBody.Placeable()) {
     self->Begin();
@@ -144,6 +145,7 @@
     // Released at the end of the turn, since the attempt may still be inside a call to this object.
     mRuntime.loop.Defer([self = mSelf] {});
     mSelf.reset();
+    --mRuntime.inFlight;
   }
 }
 
--- a/src/process/sidecar/runtime.h
+++ b/src/process/sidecar/runtime.h
@@ -23,6 +23,8 @@
   fleet_state& fleet;
   decision_log& log;
   counters_page& counters;
+  // Requests of callers and of other daemons that have no whole answer yet.
+  size_t& inFlight;
 
   common::boot_time Now() const { return clock.Now(); }
 };
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -201,7 +201,7 @@
   , mRandom(common::EntropySeed())
   , mFleet(aDecoder)
   , mLog(aSettings.vm, mClock)
-  , mRuntime{ mSettings, aLoop, mClock, mRandom, aPool, aPorts.headers, mFleet, mLog, mCounters }
+  , mRuntime{ mSettings, aLoop, mClock, mRandom, aPool, aPorts.headers, mFleet, mLog, mCounters, mInFlight }
   , mPlacement(mRandom)
   , mGate(mRuntime, mSuspects)
   , mMessenger(mRuntime)
@@ -210,7 +210,7 @@
   , mKeys(mRuntime, mEditor, mMessenger, mGossip, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mGossip, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { TellFleet(); })
-  , mEntry{ mRuntime, mGate, mPlacement, mBudgets, mWaiting, mStopping }
+  , mEntry{ mRuntime, mGate, mPlacement, mBudgets, mWaiting, mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
@@ -418,14 +418,19 @@
 void sidecar::EndWhenDone()
 {
   common::boot_time now = mRuntime.Now();
-  bool busy = mGate.Load().running > 0 || mGate.Load().waiting > 0 || !mWaiting.empty();
-  if (busy) {
+  if (mInFlight > 0 || !mKeys.Empty()) {
     mQuietSince = now;
   }
   bool noticed = now >= mStopAt + kEndMargin - mSettings.bounds.grace + kNoticeTime;
-  bool quiet = now >= mQuietSince + kFlushPeriod && mKeys.Empty();
+  if (noticed) {
+    // Whoever still comes is better refused than cut off.
+    mListeners.front()->Close();
+    mClosing = true;
+  }
+  bool quiet = now >= mQuietSince + kFlushPeriod;
   if ((noticed && quiet) || now >= mStopAt) {
-    mLog.Write(line_class::kState, "stopped", [] { return common::json::object(); });
+    mLog.Write(line_class::kState, "stopped",
+               [this] { return common::json{ { "in_flight", mInFlight } }; });
     mLog.Flush();
     mLoop.Quit();
   }
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -69,6 +69,7 @@
   fleet_state mFleet;
   decision_log mLog;
   counters_page mCounters;
+  size_t mInFlight = 0;
   runtime mRuntime;
   request::suspect_list mSuspects;
   request::placement mPlacement;
@@ -82,6 +83,7 @@
   std::map<common::service_name, request::shared_budget> mBudgets;
   std::set<entry_request*> mWaiting;
   bool mStopping = false;
+  bool mClosing = false;
   entry_context mEntry;
   std::unique_ptr<caller_listener> mCallers;
   std::unique_ptr<forward_listener> mForwards;
