Decide on arrival whether a request may wait

Change: order by rank and arrival; the target bounds the wait where nothing less urgent gives way; late ones wait only behind little; requests for keys without a reachable owner are rejected at once.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -21,7 +21,7 @@
 // Placements of one request that may end with "not sent" before it is rejected.
 constexpr unsigned kMaxRefusals = 3;
 // Waiting for the owner of a key uses at most this share of a request's time.
-constexpr double kOwnerWaitShare = 0.35;
+constexpr double kOwnerWaitShare = 0.2;
 // Callers come back after at most this share of the time that they have left.
 constexpr double kMaxReturnShare = 0.3;
 // A second upstream needs at least this much time to be worth asking.
@@ -170,6 +170,11 @@
     owner == nullptr ? nullptr : mContext.process.fleet.Members().Find(owner->vm);
   bool usable = target != nullptr && !mContext.placement.IsAvoided(target->vm, mContext.process.Now());
   bool stale = aMap != nullptr && mFacts.mapVersion == aMap->version;
+  if (target != nullptr && !usable) {
+    // The owner is lost; whoever takes over needs longer than a caller should be held.
+    RejectLater("owner_unreachable");
+    return;
+  }
   if (!usable || stale) {
     WaitForOwner();
     return;
@@ -225,9 +230,7 @@
   common::boot_time now = mContext.process.Now();
   auto patience = std::chrono::duration_cast<common::microseconds>(mFacts.deadline - mArrivedAt);
   if (now > mArrivedAt + Share(patience, kOwnerWaitShare)) {
-    auto left = std::chrono::duration_cast<common::microseconds>(mFacts.deadline - now);
-    Reject(mLastRefusal.empty() ? "no_owner" : mLastRefusal.c_str(),
-           Share(left, kMaxReturnShare));
+    RejectLater(mLastRefusal.empty() ? "no_owner" : mLastRefusal.c_str());
     return;
   }
   mContext.waiting.insert(this);
@@ -387,6 +390,13 @@
   }
 }
 
+void entry_request::RejectLater(const char* aReason)
+{
+  auto left = std::chrono::duration_cast<common::microseconds>(mFacts.deadline -
+                                                               mContext.process.Now());
+  Reject(aReason, Share(left, kMaxReturnShare));
+}
+
 void entry_request::Reject(const char* aReason, common::microseconds aRetryAfter)
 {
   // An earlier attempt of an idempotent request may have run: nothing may be promised.
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -49,6 +49,8 @@
   bool MayRepeat();
   void OnDeadline();
   // Answers that the request has not run and will not.
+  // As Reject, with the longest pause that callers keep to.
+  void RejectLater(const char* aReason);
   void Reject(const char* aReason, common::microseconds aRetryAfter);
   void Fail(int aStatus, const std::string& aReason);
   void Respond(int aStatus, connection::http::response_head aHead);
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A request for a key that is about to arrive or leave waits for at most this share of its time.
-constexpr double kParkShare = 0.4;
+constexpr double kParkShare = 0.2;
 // Weight of the newest reading in the utilization; readings are taken at each tick.
 constexpr double kReadingWeight = 0.1;
 
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -1,6 +1,7 @@
 #include "request/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bamboograde::request {
 
@@ -13,12 +14,27 @@
 // A request is hopeless when less than this share of its usual time is left: some run faster than
 // the mean.
 constexpr double kHopelessShare = 0.7;
+// A request that can only be late waits for at most this share of its usual time.
+constexpr double kLateWaitShare = 0.4;
+// Less urgent work that keeps more than this share of the slots busy gives way to more urgent work.
+constexpr double kNoticeableShare = 0.05;
+// Time over which arriving work is averaged.
+constexpr common::milliseconds kLoadWindow{ 1000 };
+// More urgent work is never assumed to leave less than the rest of the slots.
+constexpr double kMostUrgentShare = 0.8;
 
 common::microseconds Scale(common::microseconds aTime, double aFactor)
 {
   return common::microseconds(int64_t(double(aTime.count()) * aFactor));
 }
 
+// What is left of an average after some time.
+double Remaining(std::chrono::duration<double> aTime)
+{
+  std::chrono::duration<double> window = kLoadWindow;
+  return std::exp(-aTime.count() / window.count());
+}
+
 common::microseconds Average(common::microseconds aMean, common::microseconds aSample)
 {
   if (aMean.count() == 0) {
@@ -35,12 +51,35 @@
   return found == mServiceTimes.end() ? kUnknownServiceTime : found->second;
 }
 
-admission::order_key admission::KeyOf(const entry& aEntry) const
+void admission::NoteArrival(const admission_request& aRequest, common::boot_time aNow)
+{
+  rank_load& load = mLoads[aRequest.rank];
+  load.slots *= Remaining(aNow - load.updatedAt);
+  load.updatedAt = aNow;
+  std::chrono::duration<double> time = ServiceTime(aRequest.work);
+  std::chrono::duration<double> window = kLoadWindow;
+  load.slots += time.count() / window.count();
+}
+
+double admission::MoreUrgentShare(unsigned aRank, common::boot_time aNow) const
 {
-  return { aEntry.request.rank, aEntry.late, aEntry.latestStart, aEntry.ticket };
+  double busy = 0;
+  for (const auto& [rank, load] : mLoads) {
+    busy += rank < aRank ? load.slots * Remaining(aNow - load.updatedAt) : 0;
+  }
+  return std::min(busy / mSlots, kMostUrgentShare);
+}
+
+double admission::LessUrgentShare(unsigned aRank, common::boot_time aNow) const
+{
+  double busy = 0;
+  for (const auto& [rank, load] : mLoads) {
+    busy += rank > aRank ? load.slots * Remaining(aNow - load.updatedAt) : 0;
+  }
+  return busy / mSlots;
 }
 
-common::microseconds admission::ExpectedWait(const order_key& aKey, common::boot_time aNow) const
+common::microseconds admission::ExpectedWait(unsigned aRank, common::boot_time aNow) const
 {
   if (mSlots == 0) {
     return common::microseconds::max();
@@ -48,46 +87,42 @@
   if (mRunning.size() < mSlots && mWaiting.empty()) {
     return common::microseconds(0);
   }
-  // Work in front: what is left of the running requests, and the waiting ones that sort earlier.
+  // Work in front: what is left of the running requests, and what waits with this rank or before it.
   common::microseconds work{ 0 };
   for (const auto& [ticket, running] : mRunning) {
     common::microseconds usual = ServiceTime(running.request.work);
     auto spent = std::chrono::duration_cast<common::microseconds>(aNow - running.startedAt);
     work += std::max(usual - spent, usual / 4);
   }
-  for (auto waiting = mWaiting.begin(); waiting != mWaiting.end() && waiting->first < aKey;
-       ++waiting) {
-    work += ServiceTime(waiting->second.request.work);
+  for (const auto& [key, waiting] : mWaiting) {
+    work += key.rank <= aRank ? ServiceTime(waiting.request.work) : common::microseconds(0);
   }
-  return work / mSlots;
+  return Scale(work / mSlots, 1 / (1 - MoreUrgentShare(aRank, aNow)));
 }
 
 admission_decision admission::Offer(const admission_request& aRequest, common::boot_time aNow)
 {
   admission_decision decision;
-  common::microseconds usual = ServiceTime(aRequest.work);
-  entry candidate;
-  candidate.request = aRequest;
-  candidate.ticket = ++mLastTicket;
-  candidate.latestStart = aRequest.target - usual;
-  candidate.late = candidate.latestStart < aNow;
-  if (candidate.late) {
-    candidate.latestStart = aRequest.deadline - usual;
-  }
-  decision.ticket = candidate.ticket;
+  decision.ticket = ++mLastTicket;
+  NoteArrival(aRequest, aNow);
   if (mRunning.size() < mSlots && mWaiting.empty()) {
-    candidate.startedAt = aNow;
-    mRunning.emplace(candidate.ticket, std::move(candidate));
+    mRunning[decision.ticket] = { aRequest, aNow };
     decision.verdict = admission_verdict::kStart;
     return decision;
   }
-  order_key key = KeyOf(candidate);
-  decision.expectedWait = ExpectedWait(key, aNow);
-  if (mSlots == 0 || aNow + decision.expectedWait + usual > aRequest.deadline) {
+  common::microseconds usual = ServiceTime(aRequest.work);
+  decision.expectedWait = ExpectedWait(aRequest.rank, aNow);
+  bool inTime = aNow + usual <= aRequest.target;
+  bool mayWait = LessUrgentShare(aRequest.rank, aNow) > kNoticeableShare ||
+                 (inTime ? aNow + decision.expectedWait + usual <= aRequest.target
+                         : decision.expectedWait <= Scale(usual, kLateWaitShare));
+  bool possible = mSlots > 0 && aNow + decision.expectedWait + usual <= aRequest.deadline;
+  if (!mayWait || !possible) {
     return decision;
   }
-  mWaitingKeys.emplace(candidate.ticket, key);
-  mWaiting.emplace(key, std::move(candidate));
+  order_key key{ aRequest.rank, decision.ticket };
+  mWaiting[key] = { aRequest, {} };
+  mWaitingKeys.emplace(decision.ticket, key);
   decision.verdict = admission_verdict::kWait;
   return decision;
 }
@@ -116,38 +151,16 @@
   }
 }
 
-// Moves requests that can no longer make their target behind those of their rank that can.
-void admission::Demote(common::boot_time aNow)
-{
-  std::vector<order_key> missed;
-  for (const auto& [key, waiting] : mWaiting) {
-    if (!key.late && key.latestStart < aNow) {
-      missed.push_back(key);
-    }
-  }
-  for (const order_key& key : missed) {
-    auto node = mWaiting.extract(key);
-    entry& waiting = node.mapped();
-    waiting.late = true;
-    waiting.latestStart = waiting.request.deadline - ServiceTime(waiting.request.work);
-    node.key() = KeyOf(waiting);
-    mWaitingKeys[waiting.ticket] = node.key();
-    mWaiting.insert(std::move(node));
-  }
-}
-
 std::optional<ticket_number> admission::Next(common::boot_time aNow)
 {
   if (mWaiting.empty() || mRunning.size() >= mSlots) {
     return std::nullopt;
   }
-  Demote(aNow);
-  auto node = mWaiting.extract(mWaiting.begin());
-  entry& chosen = node.mapped();
-  ticket_number ticket = chosen.ticket;
+  auto first = mWaiting.begin();
+  ticket_number ticket = first->first.ticket;
+  mRunning[ticket] = { std::move(first->second.request), aNow };
+  mWaiting.erase(first);
   mWaitingKeys.erase(ticket);
-  chosen.startedAt = aNow;
-  mRunning.emplace(ticket, std::move(chosen));
   return ticket;
 }
 
@@ -157,7 +170,7 @@
   for (const auto& [key, waiting] : mWaiting) {
     common::microseconds needed = Scale(ServiceTime(waiting.request.work), kHopelessShare);
     if (aNow + needed > waiting.request.deadline) {
-      hopeless.push_back(waiting.ticket);
+      hopeless.push_back(key.ticket);
     }
   }
   for (ticket_number ticket : hopeless) {
@@ -170,7 +183,7 @@
 {
   std::vector<ticket_number> all;
   for (const auto& [key, waiting] : mWaiting) {
-    all.push_back(waiting.ticket);
+    all.push_back(key.ticket);
   }
   mWaiting.clear();
   mWaitingKeys.clear();
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -1,9 +1,11 @@
 // Decides which requests an upstream runs, which wait, and which are rejected.
 //
 // The gate beside an upstream sends it at most as many requests as it has slots, so that the upstream's
-// own queue stays empty and everything that waits does so here, in the order that serves callers best:
-// by rank, then by the latest start that still makes the target latency; requests that can only be late
-// come after those. A request that can not be answered within its deadline is rejected on arrival.
+// own queue stays empty and everything that waits does so here, by rank and then in order of arrival.
+// Whether a request may wait is decided once, on arrival, so that what is accepted is served and what is
+// rejected knows at once: one that will make its target latency may wait; one that can only be late may
+// wait only while little is in front of it, because under overload it would take the place of one that
+// can still be on time. Where there is less urgent work to take the place of, the deadline decides.
 //
 // Load pattern: arrivals beyond the upstream's capacity for seconds (bursts, a hot key, a slow upstream).
 #pragma once
@@ -76,32 +78,35 @@
   struct entry
   {
     admission_request request;
-    // Latest start that makes the target, or the deadline for requests that can only be late.
-    common::boot_time latestStart;
-    bool late = false;
-    ticket_number ticket = 0;
     common::boot_time startedAt;
   };
-  // Rank, late or not, latest start, arrival.
   struct order_key
   {
     unsigned rank;
-    bool late;
-    common::boot_time latestStart;
     ticket_number ticket;
     auto operator<=>(const order_key&) const = default;
   };
+  // Work that arrives with one rank, in slots that it keeps busy.
+  struct rank_load
+  {
+    double slots = 0;
+    common::boot_time updatedAt;
+  };
 
-  order_key KeyOf(const entry& aEntry) const;
-  // How long a request that sorts at aKey will wait.
-  common::microseconds ExpectedWait(const order_key& aKey, common::boot_time aNow) const;
-  void Demote(common::boot_time aNow);
+  // How long a request of this rank will wait.
+  common::microseconds ExpectedWait(unsigned aRank, common::boot_time aNow) const;
+  // The share of the slots that more urgent requests will keep busy.
+  double MoreUrgentShare(unsigned aRank, common::boot_time aNow) const;
+  // The share of the slots that less urgent requests ask for.
+  double LessUrgentShare(unsigned aRank, common::boot_time aNow) const;
+  void NoteArrival(const admission_request& aRequest, common::boot_time aNow);
 
   unsigned mSlots = 0;
   ticket_number mLastTicket = 0;
   std::map<order_key, entry> mWaiting;
   std::map<ticket_number, order_key> mWaitingKeys;
   std::map<ticket_number, entry> mRunning;
+  std::map<unsigned, rank_load> mLoads;
   std::map<std::string, common::microseconds> mServiceTimes;
   common::microseconds mMeanServiceTime{ 0 };
 };
