Change witnesses only when the new ones vouch for what was granted; test the new modules

A witness restarted and was replaced; its last renewal carried the grants in force, but the new set did not count it and promised a takeover at once. Ruled out: lapsed leases (the holder's sums were right under the old set), stale fences. Change: a change of witnesses is submitted when the new set has renewed past the last grant; a lease that has just begun counts nobody as lost; a holder that is its own witness renews like any other.

--- a/src/process/lease/lease_holder.cpp
+++ b/src/process/lease/lease_holder.cpp
@@ -20,6 +20,11 @@
   mNext = std::move(aNext);
 }
 
+bool lease_holder::MayCommitChange(common::boot_time aGrantedUntil) const
+{
+  return mNext.has_value() && EndUnder(*mNext) >= aGrantedUntil;
+}
+
 void lease_holder::EndChange(bool aCommitted)
 {
   if (aCommitted && mNext.has_value()) {
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -16,6 +16,8 @@
 constexpr common::milliseconds kSettleTime{ 1200 };
 constexpr common::milliseconds kRetryJoin{ 200 };
 constexpr common::milliseconds kRenewTimeout{ 400 };
+// A change of witnesses that takes longer is given up; the next one may choose better.
+constexpr common::milliseconds kChangeTime{ 1500 };
 constexpr common::milliseconds kBalancePeriod{ 500 };
 // Pause after a move, so that its effect shows before the next.
 constexpr common::milliseconds kMovePause{ 1500 };
@@ -209,6 +211,7 @@
         return;
       }
       mSession = session;
+      mJoinedAt = mRuntime.Now();
       mLease = lease::lease_holder(mTerms);
       mLease.SetWitnesses(witnesses);
       mDepartures.clear();
@@ -248,10 +251,6 @@
 {
   common::boot_time now = mRuntime.Now();
   for (const version::witness_ref& witness : mLease.Targets()) {
-    if (witness.control == mRuntime.settings.listen.control) {
-      mLease.OnRenewed(witness, now);
-      continue;
-    }
     mMessenger.Send(witness.control, kRenewPath,
                     { { "session", mSession.Str() }, { "witness", witness.boot.Str() } },
                     now + kRenewTimeout,
@@ -283,54 +282,65 @@
 void key_holder::ReplaceLostWitnesses()
 {
   common::boot_time now = mRuntime.Now();
+  if (mLease.Changing()) {
+    CommitWitnesses();
+    return;
+  }
   lease::witness_set lost = mLease.Lost(now);
-  if (lost.empty() || mLease.Changing() || mEditor.Busy()) {
+  bool settled = now >= mJoinedAt + mTerms.term / 2;
+  if (lost.empty() || !settled || mEditor.Busy() || !mEditor.Healthy() || now < mJoinAt) {
     return;
   }
+  mJoinAt = now + mTerms.renewPeriod * 2;
   if (lost.size() * 2 > mLease.Witnesses().size()) {
     // The majority is gone: a new claim with new witnesses.
-    if (now >= mJoinAt) {
-      mJoinAt = now + mTerms.renewPeriod * 2;
-      Join();
-    }
-    return;
-  }
-  if (now < mJoinAt) {
+    Join();
     return;
   }
-  mJoinAt = now + mTerms.renewPeriod * 2;
   lease::witness_set keep;
   for (const version::witness_ref& witness : mLease.Witnesses()) {
     if (std::find(lost.begin(), lost.end(), witness) == lost.end()) {
       keep.push_back(witness);
     }
   }
-  lease::witness_set next = ChooseWitnesses(keep);
-  bool begun = mEditor.Edit(
+  mNextWitnesses = ChooseWitnesses(keep);
+  mChangeSubmitted = false;
+  mChangeUntil = now + kChangeTime;
+  mLease.BeginChange(mNextWitnesses);
+  Renew();
+}
+
+void key_holder::CommitWitnesses()
+{
+  if (mChangeSubmitted || mEditor.Busy()) {
+    return;
+  }
+  if (mRuntime.Now() >= mChangeUntil) {
+    mLease.EndChange(false);
+    return;
+  }
+  if (!mLease.MayCommitChange(mGrantEnd)) {
+    return;
+  }
+  mChangeSubmitted = mEditor.Edit(
     mGate.Service(),
-    [this, next](version::key_map& aMap) {
+    [this](version::key_map& aMap) {
       version::key_owner* own = aMap.Owner(mRuntime.settings.vm);
       if (own == nullptr || own->session != mSession) {
         return false;
       }
-      own->witnesses = next;
+      own->witnesses = mNextWitnesses;
       return true;
     },
     [this](edit_outcome aOutcome) {
-      const version::key_owner* own = Own();
-      bool committed = aOutcome == edit_outcome::kCommitted;
       if (aOutcome == edit_outcome::kUnknown) {
         // Holds under both sets until a new claim settles which one counts.
-        mJoinAt = {};
         Join();
         return;
       }
-      mLease.EndChange(committed && own != nullptr);
+      mLease.EndChange(aOutcome == edit_outcome::kCommitted);
       mRenewAt = {};
     });
-  if (begun) {
-    mLease.BeginChange(next);
-  }
 }
 
 std::vector<version::heir> key_holder::Heirs() const
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -54,6 +54,8 @@
   void OnRenewed(const version::witness_ref& aWitness, const common::session_id& aSession,
                  common::boot_time aSentAt, const common::result<common::json>& aAnswer);
   void ReplaceLostWitnesses();
+  // Commits the new witnesses once they vouch for all that the upstream may hold.
+  void CommitWitnesses();
   void Divide();
   void Balance();
   std::vector<version::heir> Heirs() const;
@@ -85,6 +87,11 @@
   common::boot_time mGrantEnd;
   common::boot_time mRenewAt;
   common::boot_time mJoinAt;
+  common::boot_time mJoinedAt;
+  // The change of witnesses that is under way.
+  lease::witness_set mNextWitnesses;
+  bool mChangeSubmitted = false;
+  common::boot_time mChangeUntil;
   common::boot_time mBalanceAt;
   common::boot_time mDecayAt;
   common::boot_time mOwnersChangedAt;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -78,9 +78,12 @@
   if (usable.empty()) {
     return size_t(mRandom.Below(aCandidates.size()));
   }
-  // Two random ones, and the nearest.
-  size_t best = usable[size_t(mRandom.Below(usable.size()))];
-  std::vector<size_t> rivals = { usable[size_t(mRandom.Below(usable.size()))] };
+  // Two random ones, which differ, and the nearest.
+  size_t first = size_t(mRandom.Below(usable.size()));
+  size_t second = (first + 1 + size_t(mRandom.Below(std::max<size_t>(usable.size() - 1, 1)))) %
+                  usable.size();
+  size_t best = usable[first];
+  std::vector<size_t> rivals = { usable[second] };
   rivals.push_back(*std::min_element(usable.begin(), usable.end(), [&](size_t aLeft, size_t aRight) {
     return aCandidates[aLeft].away < aCandidates[aRight].away;
   }));
--- a/src/version/key_plan.cpp
+++ b/src/version/key_plan.cpp
@@ -35,7 +35,9 @@
     uint32_t first = range.first;
     for (uint32_t key = range.first; key <= range.last; ++key) {
       given += Weight(key, aLoad);
-      bool full = given >= allowance && current + 1 < aHeirs.size();
+      // Cut where the piece comes out nearest to its share.
+      double next = key < range.last ? Weight(key + 1, aLoad) : 0;
+      bool full = given + next / 2 >= allowance && current + 1 < aHeirs.size();
       if (full || key == range.last) {
         plan.push_back({ { first, key }, aHeirs[current].vm });
         first = key + 1;
--- /dev/null
+++ b/tests/connection/http/client_pool_test.cpp
@@ -0,0 +1,226 @@
+#include "connection/http/http_fixture.h"
+
+using namespace bamboograde;
+using namespace bamboograde::connection::http;
+using tests::http_fixture;
+
+namespace {
+
+constexpr common::milliseconds kTurn{ 20 };
+
+// A server whose bytes the test writes itself.
+class raw_peer
+{
+public:
+  explicit raw_peer(event_loop& aLoop)
+    : mListener(aLoop, [this](int aFd) { fds.push_back(aFd); })
+  {
+    cr_assert(mListener.Listen(common::endpoint("127.0.0.1:0")).has_value());
+  }
+  ~raw_peer()
+  {
+    for (int fd : fds) {
+      close(fd);
+    }
+  }
+  common::endpoint Address() const
+  {
+    return common::endpoint("127.0.0.1:" + std::to_string(mListener.Port()));
+  }
+  void Stop() { mListener.Close(); }
+
+  std::vector<int> fds;
+
+private:
+  tcp_listener mListener;
+};
+
+class recording_observer : public call_observer
+{
+public:
+  bool IsOwnResponse(const response_head& aHead) override
+  {
+    const std::string* id = aHead.headers.Find("Id");
+    return id == nullptr || ownId.empty() || *id == ownId;
+  }
+  void OnCallHead(response_head& aHead) override { status = aHead.status; }
+  void OnCallBody(std::string_view aBytes) override { body.append(aBytes); }
+  void OnCallEnd() override { ++ends; }
+  void OnCallFailed(const call_error& aError) override
+  {
+    ++failures;
+    error = aError;
+  }
+
+  std::string ownId;
+  int status = 0;
+  std::string body;
+  int ends = 0;
+  int failures = 0;
+  call_error error;
+};
+
+struct client_fixture
+{
+  client_fixture()
+    : pool(base.Loop())
+    , peer(base.Loop())
+  {
+  }
+  client_call_ptr Get(recording_observer* aObserver)
+  {
+    request_head head;
+    head.method = "GET";
+    head.target = "/";
+    head.headers.Add("Host", "h");
+    client_call_ptr call = pool.Send(peer.Address(), head, "", true,
+                                     base.Loop().Now() + common::milliseconds(500), aObserver);
+    base.RunFor(kTurn);
+    return call;
+  }
+  // Reads what was sent first, since closing with unread input would reset the connection.
+  void CloseFirst()
+  {
+    http_fixture::Receive(peer.fds[0]);
+    close(peer.fds[0]);
+    peer.fds.erase(peer.fds.begin());
+    base.RunFor(kTurn);
+  }
+  void Answer(size_t aConnection, std::string_view aBytes)
+  {
+    http_fixture::Send(peer.fds[aConnection], aBytes);
+    base.RunFor(kTurn);
+  }
+
+  http_fixture base;
+  client_pool pool;
+  raw_peer peer;
+};
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+Test(client_pool, keeps_connections)
+{
+  client_fixture fixture;
+  for (int round = 0; round < 3; ++round) {
+    recording_observer observer;
+    auto call = fixture.Get(&observer);
+    fixture.Answer(0, kOk);
+    cr_assert_eq(observer.ends, 1);
+    cr_assert(observer.body == "ok");
+  }
+  cr_assert_eq(fixture.peer.fds.size(), 1U);
+}
+
+Test(client_pool, passes_over_a_late_answer_to_an_earlier_call)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  observer.ownId = "b";
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nother"
+                    "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 4\r\n\r\nmine");
+  cr_assert_eq(observer.ends, 1);
+  cr_assert(observer.body == "mine");
+  // Such a connection is not used again.
+  recording_observer second;
+  auto next = fixture.Get(&second);
+  cr_assert_eq(fixture.peer.fds.size(), 2U);
+}
+
+Test(client_pool, an_extra_answer_belongs_to_nobody)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, std::string(kOk) + kOk);
+  cr_assert_eq(observer.ends, 1);
+  cr_assert(observer.body == "ok");
+  recording_observer second;
+  auto next = fixture.Get(&second);
+  cr_assert_eq(second.ends, 0);
+  cr_assert_eq(fixture.peer.fds.size(), 2U);
+}
+
+Test(client_pool, an_extra_answer_on_an_idle_connection_closes_it)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, kOk);
+  fixture.Answer(0, kOk);
+  recording_observer second;
+  auto next = fixture.Get(&second);
+  cr_assert_eq(second.ends, 0);
+  cr_assert_eq(fixture.peer.fds.size(), 2U);
+}
+
+Test(client_pool, a_cut_answer_is_a_failure_with_unknown_effect)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+  fixture.CloseFirst();
+  cr_assert_eq(observer.ends, 0);
+  cr_assert_eq(observer.failures, 1);
+  cr_assert(observer.error.failure == call_failure::kUnknown);
+}
+
+Test(client_pool, an_answer_without_length_is_whole_when_its_connection_ends)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, "HTTP/1.1 200 OK\r\n\r\nall of it");
+  cr_assert_eq(observer.ends, 0);
+  fixture.CloseFirst();
+  cr_assert_eq(observer.ends, 1);
+  cr_assert(observer.body == "all of it");
+}
+
+Test(client_pool, a_refused_connection_is_known_not_to_have_carried_the_request)
+{
+  client_fixture fixture;
+  fixture.peer.Stop();
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  cr_assert_eq(observer.failures, 1);
+  cr_assert(observer.error.failure == call_failure::kNotSent);
+  cr_assert(observer.error.refused);
+}
+
+Test(client_pool, bytes_that_are_not_http_are_a_failure)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, "\x01\x02garbage\r\n\r\n");
+  cr_assert_eq(observer.failures, 1);
+  cr_assert(observer.error.failure == call_failure::kUnknown);
+}
+
+Test(client_pool, a_cancelled_call_closes_its_connection)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  call->Cancel();
+  fixture.base.RunFor(kTurn);
+  bool ended = false;
+  http_fixture::Receive(fixture.peer.fds[0], &ended);
+  cr_assert(ended);
+  cr_assert_eq(observer.ends + observer.failures, 0);
+}
+
+Test(client_pool, an_informational_answer_is_not_the_answer)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  fixture.Answer(0, std::string("HTTP/1.1 100 Continue\r\n\r\n") + kOk);
+  cr_assert_eq(observer.ends, 1);
+  cr_assert_eq(observer.status, 200);
+}
--- /dev/null
+++ b/tests/connection/http/message_parser_test.cpp
@@ -0,0 +1,142 @@
+#include "connection/http/message_parser.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde::connection::http;
+
+namespace {
+
+class recording_sink : public message_sink
+{
+public:
+  void OnHead() override { ++heads; }
+  void OnBody(std::string_view aBytes) override { body.append(aBytes); }
+
+  int heads = 0;
+  std::string body;
+};
+
+// Feeds aText in pieces of aStep bytes, keeping what was not used, as a connection does.
+template<typename parser>
+parse_status FeedInSteps(parser& aParser, std::string_view aText, size_t aStep,
+                         message_sink& aSink, std::string* aRest)
+{
+  std::string pending;
+  parse_status status = parse_status::kNeedMore;
+  for (size_t at = 0; at < aText.size() && status == parse_status::kNeedMore; at += aStep) {
+    pending.append(aText.substr(at, aStep));
+    size_t used = 0;
+    status = aParser.Feed(pending, aSink, &used);
+    pending.erase(0, used);
+  }
+  *aRest = pending;
+  return status;
+}
+
+parse_status ParseRequest(std::string_view aText, const parse_limits& aLimits = {})
+{
+  request_parser parser(aLimits);
+  recording_sink sink;
+  std::string rest;
+  return FeedInSteps(parser, aText, aText.size(), sink, &rest);
+}
+
+} // namespace
+
+Test(message_parser, reads_a_request_however_it_is_split)
+{
+  const std::string text = "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n\r\nhello";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    request_parser parser({});
+    recording_sink sink;
+    std::string rest;
+    cr_assert_eq(FeedInSteps(parser, text, step, sink, &rest), parse_status::kComplete);
+    cr_assert_eq(sink.heads, 1);
+    cr_assert(sink.body == "hello");
+    cr_assert(parser.Head().target == "/a/b?c=1");
+    cr_assert(parser.Head().body.framing == body_framing::kLength);
+  }
+}
+
+Test(message_parser, reads_chunks_however_they_are_split)
+{
+  const std::string text =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    request_parser parser({});
+    recording_sink sink;
+    std::string rest;
+    cr_assert_eq(FeedInSteps(parser, text, step, sink, &rest), parse_status::kComplete,
+                 "step %zu", step);
+    cr_assert(sink.body == "abcde");
+  }
+}
+
+Test(message_parser, leaves_the_next_request_alone)
+{
+  request_parser parser({});
+  recording_sink sink;
+  std::string rest;
+  std::string two = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+  cr_assert_eq(FeedInSteps(parser, two, two.size(), sink, &rest), parse_status::kComplete);
+  cr_assert(rest == "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+Test(message_parser, refuses_framing_that_can_be_read_in_two_ways)
+{
+  const char* broken[] = {
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost : h\r\n\r\n",
+    "GET / HTTP/1.1\nHost: h\n\n",
+    "not http at all\r\n\r\n",
+  };
+  for (const char* text : broken) {
+    cr_assert_eq(ParseRequest(text), parse_status::kMalformed, "%s", text);
+  }
+}
+
+Test(message_parser, refuses_what_is_over_its_limits)
+{
+  parse_limits limits{ 128, 4 };
+  std::string longHeader = "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(500, 'x') + "\r\n\r\n";
+  cr_assert_eq(ParseRequest(longHeader, limits), parse_status::kHeaderTooLarge);
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello", limits),
+               parse_status::kBodyTooLarge);
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+                            limits),
+               parse_status::kBodyTooLarge);
+  cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nhell", limits),
+               parse_status::kComplete);
+}
+
+Test(message_parser, a_response_without_length_ends_with_its_connection)
+{
+  response_parser parser({}, false);
+  recording_sink sink;
+  std::string rest;
+  std::string text = "HTTP/1.1 200 OK\r\n\r\nsome bytes";
+  cr_assert_eq(FeedInSteps(parser, text, 4, sink, &rest), parse_status::kNeedMore);
+  cr_assert(parser.Head().body.framing == body_framing::kUntilClose);
+  cr_assert(parser.CompleteAtEof());
+  cr_assert(sink.body == "some bytes");
+}
+
+Test(message_parser, a_response_that_is_cut_off_is_not_complete)
+{
+  const char* cut[] = { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nContent-Le",
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n" };
+  for (const char* text : cut) {
+    response_parser parser({}, false);
+    recording_sink sink;
+    std::string rest;
+    cr_assert_eq(FeedInSteps(parser, text, 3, sink, &rest), parse_status::kNeedMore);
+    cr_assert_not(parser.CompleteAtEof(), "%s", text);
+  }
+}
--- /dev/null
+++ b/tests/connection/http/server_connection_test.cpp
@@ -0,0 +1,216 @@
+#include "connection/http/http_fixture.h"
+
+using namespace bamboograde;
+using namespace bamboograde::connection::http;
+using tests::http_fixture;
+
+namespace {
+
+constexpr common::milliseconds kTurn{ 20 };
+
+class recording_handler
+  : public exchange_handler
+  , public exchange_observer
+{
+public:
+  caller_limits Limits() const override { return limits; }
+  void OnRequest(const server_exchange_ptr& aExchange) override
+  {
+    exchanges.push_back(aExchange);
+    aExchange->SetObserver(this);
+  }
+  void OnRequestBody() override { ++bodyEvents; }
+  void OnCallerGone() override { ++gone; }
+
+  void Answer(size_t aIndex, int aStatus, const std::string& aBody)
+  {
+    response_head head;
+    head.status = aStatus;
+    exchanges[aIndex]->Respond(head, aBody);
+  }
+
+  caller_limits limits;
+  std::vector<server_exchange_ptr> exchanges;
+  int bodyEvents = 0;
+  int gone = 0;
+};
+
+constexpr char kGet[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+Test(server_connection, answers_pipelined_requests_in_their_order)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) + kGet + kGet);
+  fixture.RunFor(kTurn);
+  cr_assert_eq(handler.exchanges.size(), 3U);
+  handler.Answer(2, 200, "three");
+  handler.Answer(1, 200, "two");
+  fixture.RunFor(kTurn);
+  cr_assert(http_fixture::Receive(fd).empty());
+  handler.Answer(0, 200, "one");
+  fixture.RunFor(kTurn);
+  std::string text = http_fixture::Receive(fd);
+  size_t one = text.find("one");
+  size_t two = text.find("two");
+  size_t three = text.find("three");
+  cr_assert(one < two && two < three && three != std::string::npos);
+  close(fd);
+}
+
+// A partial head once made the loop parse it again for ever.
+Test(server_connection, a_partial_head_does_not_keep_the_loop_busy)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) + "GET /sec");
+  fixture.RunFor(kTurn);
+  cr_assert_eq(handler.exchanges.size(), 1U);
+  handler.Answer(0, 200, "one");
+  fixture.RunFor(kTurn);
+  http_fixture::Send(fd, "ond HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.RunFor(kTurn);
+  cr_assert_eq(handler.exchanges.size(), 2U);
+  cr_assert(handler.exchanges[1]->Head().target == "/second");
+  close(fd);
+}
+
+Test(server_connection, tells_the_handler_when_the_caller_leaves)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, kGet);
+  fixture.RunFor(kTurn);
+  close(fd);
+  fixture.RunFor(kTurn);
+  cr_assert_eq(handler.gone, 1);
+  cr_assert(handler.exchanges[0]->CallerGone());
+  // Answering now does no harm.
+  handler.Answer(0, 200, "late");
+}
+
+Test(server_connection, an_aborted_response_ends_the_connection_without_looking_complete)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, kGet);
+  fixture.RunFor(kTurn);
+  response_head head;
+  head.status = 200;
+  head.body = { body_framing::kChunked, 0 };
+  handler.exchanges[0]->StartResponse(head);
+  handler.exchanges[0]->SendBody("part");
+  fixture.RunFor(kTurn);
+  handler.exchanges[0]->Abort();
+  fixture.RunFor(kTurn);
+  std::string text = http_fixture::Receive(fd);
+  cr_assert(text.find("part") != std::string::npos);
+  cr_assert(text.find("\r\n0\r\n") == std::string::npos);
+  close(fd);
+}
+
+Test(server_connection, refuses_malformed_and_oversized_requests_and_closes)
+{
+  struct expectation
+  {
+    std::string text;
+    const char* status;
+  };
+  const expectation cases[] = {
+    { "GET / HTTP/1.1\r\nBad Header: x\r\n\r\n", "HTTP/1.1 400" },
+    { "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n", "HTTP/1.1 431" },
+  };
+  for (const expectation& item : cases) {
+    http_fixture fixture;
+    recording_handler handler;
+    handler.limits.parse.maxHeaderBytes = 1024;
+    int fd = fixture.Serve(handler);
+    http_fixture::Send(fd, item.text);
+    fixture.RunFor(kTurn);
+    bool ended = false;
+    std::string text = http_fixture::Receive(fd, &ended);
+    cr_assert_eq(text.find(item.status), 0U, "%s", text.c_str());
+    cr_assert(text.find("Connection: close") != std::string::npos);
+    cr_assert(ended);
+    close(fd);
+  }
+}
+
+Test(server_connection, answers_408_when_a_head_takes_too_long)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  handler.limits.headerTimeout = common::milliseconds(50);
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, "GET / HT");
+  fixture.RunFor(common::milliseconds(250));
+  cr_assert_eq(http_fixture::Receive(fd).find("HTTP/1.1 408"), 0U);
+  close(fd);
+}
+
+Test(server_connection, closes_a_connection_that_is_idle_too_long)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  handler.limits.idleTimeout = common::milliseconds(60);
+  int fd = fixture.Serve(handler);
+  fixture.RunFor(common::milliseconds(300));
+  bool ended = false;
+  http_fixture::Receive(fd, &ended);
+  cr_assert(ended);
+  close(fd);
+}
+
+Test(server_connection, an_answer_before_the_body_closes_the_connection)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\npart");
+  fixture.RunFor(kTurn);
+  handler.Answer(0, 503, "");
+  fixture.RunFor(kTurn);
+  http_fixture::Send(fd, std::string(96, 'x') + kGet);
+  fixture.RunFor(kTurn);
+  std::string text = http_fixture::Receive(fd);
+  cr_assert_eq(text.find("HTTP/1.1 503"), 0U);
+  cr_assert(text.find("Connection: close") != std::string::npos);
+  // What followed the body was not read as a request.
+  cr_assert_eq(handler.exchanges.size(), 1U);
+  close(fd);
+}
+
+Test(server_connection, holds_back_a_sender_whose_body_is_not_taken)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  size_t total = 4 * tcp_stream::kHighWater;
+  http_fixture::Send(fd, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(total) +
+                           "\r\n\r\n");
+  std::string block(16 * 1024, 'b');
+  size_t sent = 0;
+  for (int turn = 0; turn < 200; ++turn) {
+    ssize_t count = write(fd, block.data(), std::min(block.size(), total - sent));
+    sent += count > 0 ? size_t(count) : 0;
+    fixture.RunFor(common::milliseconds(1));
+  }
+  cr_assert_lt(sent, total);
+  cr_assert_lt(handler.exchanges[0]->Body().size(), tcp_stream::kHighWater + 64 * 1024);
+  size_t taken = 0;
+  for (int turn = 0; turn < 2000 && taken < total; ++turn) {
+    ssize_t count = write(fd, block.data(), std::min(block.size(), total - sent));
+    sent += count > 0 ? size_t(count) : 0;
+    taken += handler.exchanges[0]->TakeBody().size();
+    fixture.RunFor(common::milliseconds(1));
+  }
+  cr_assert_eq(taken, total);
+  cr_assert(handler.exchanges[0]->BodyComplete());
+  close(fd);
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,160 @@
+#include "platform/config_document.h"
+#include "platform/header_names.h"
+#include "platform/upstream_messages.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using connection::http::header_list;
+using connection::http::response_head;
+
+Test(header_names, reads_what_a_caller_says)
+{
+  platform::header_names names;
+  header_list headers;
+  headers.Add("x-bamboograde-request-id", "9c41");
+  headers.Add("X-Bamboograde-Deadline-Ms", "1200");
+  headers.Add("X-Bamboograde-Shard-Key", "65535");
+  request::caller_facts facts = names.ReadCaller(headers);
+  cr_assert(facts.id.Str() == "9c41");
+  cr_assert_eq(facts.patience->count(), 1200);
+  cr_assert_eq(*facts.key, 65535U);
+}
+
+Test(header_names, ignores_numbers_that_are_none)
+{
+  platform::header_names names;
+  for (const char* text : { "", "x", "-1", "12x", "65536", "99999999999999999999" }) {
+    header_list headers;
+    headers.Add("X-Bamboograde-Shard-Key", text);
+    cr_assert_not(names.ReadCaller(headers).key.has_value(), "%s", text);
+  }
+}
+
+Test(header_names, replaces_what_the_caller_claims)
+{
+  platform::header_names names;
+  header_list headers;
+  headers.Add("X-Bamboograde-Caller-Service", "forged");
+  headers.Add("X-Bamboograde-Deadline-Ms", "1200");
+  names.WriteUpstream({ common::milliseconds(700), version::upstream_id("i-1"),
+                        common::service_name("own") },
+                      &headers);
+  cr_assert(*headers.Find("X-Bamboograde-Caller-Service") == "own");
+  cr_assert_eq(headers.Count("X-Bamboograde-Caller-Service"), 1U);
+  cr_assert(*headers.Find("X-Bamboograde-Deadline-Ms") == "700");
+  cr_assert(*headers.Find("X-Bamboograde-Target-Instance") == "i-1");
+}
+
+Test(header_names, knows_which_answers_say_that_the_request_did_not_run)
+{
+  platform::header_names names;
+  response_head refused;
+  refused.status = 503;
+  refused.headers.Add("X-Bamboograde-Not-Executed", "1");
+  cr_assert(names.ReadAnswer(refused) == request::upstream_answer::kNotRun);
+  response_head misdirected;
+  misdirected.status = 421;
+  cr_assert(names.ReadAnswer(misdirected) == request::upstream_answer::kNotRun);
+  response_head failed;
+  failed.status = 503;
+  cr_assert(names.ReadAnswer(failed) == request::upstream_answer::kRan);
+  response_head unstamped;
+  unstamped.status = 200;
+  cr_assert(names.ReadAnswer(unstamped) == request::upstream_answer::kInvalid);
+  unstamped.headers.Add("X-Bamboograde-Server-Stamp", "s");
+  cr_assert(names.ReadAnswer(unstamped) == request::upstream_answer::kRan);
+  unstamped.headers.Add("Content-Encoding", "gzip");
+  cr_assert(names.ReadAnswer(unstamped) == request::upstream_answer::kInvalid);
+}
+
+Test(upstream_messages, reads_an_announcement)
+{
+  platform::upstream_messages messages;
+  auto decoded = messages.DecodeAnnouncement(
+    version::upstream_id("i-1"),
+    R"({"address":"127.0.0.1:8080","born":1700000000000,"info":{"service":"s","version":"v1","zone":"z",
+        "slots":6},"status":{"state":"draining","callSeq":4,"coldLeftMs":120.5},
+        "holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})");
+  cr_assert(decoded.has_value());
+  const auto& announcement = decoded.assume_value();
+  cr_assert(announcement.leaving);
+  cr_assert_eq(announcement.slots, 6U);
+  cr_assert_eq(announcement.sequence, 4U);
+  cr_assert_eq(announcement.startedMs, 1700000000000);
+  cr_assert_eq(announcement.holds[0].token.Value(), 7U);
+  cr_assert(announcement.released[0].handover == "5c0e");
+}
+
+Test(upstream_messages, refuses_announcements_of_other_writers)
+{
+  platform::upstream_messages messages;
+  for (const char* text :
+       { "", "not json", "[]", "{}", R"({"address":"a:1"})",
+         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"asleep","callSeq":4}})",
+         R"({"address":7,"info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4}})",
+         R"({"address":"a:1","info":{"service":"s","slots":"6"},"status":{"state":"ready","callSeq":4}})",
+         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":"4"}})",
+         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4},
+             "holds":[[9,3,1]]})" }) {
+    cr_assert_not(
+      messages.DecodeAnnouncement(version::upstream_id("i-1"), text).has_value(), "%s", text);
+  }
+}
+
+Test(upstream_messages, an_acknowledgement_without_a_grant_renews_nothing)
+{
+  platform::upstream_messages messages;
+  cr_assert(messages.EncodeAcknowledgement(std::nullopt) == "{}");
+  process::sidecar::grant grant;
+  grant.holdTime = common::milliseconds(1500);
+  grant.ranges.push_back({ { 0, 9 }, version::fence(3), "h" });
+  auto body = common::json::parse(messages.EncodeAcknowledgement(grant));
+  cr_assert(body["holds"] == common::json::parse(R"([[0,9,3,"h"]])"));
+  cr_assert_eq(body["holdMs"].get<int>(), 1500);
+}
+
+Test(upstream_messages, tells_messages_apart)
+{
+  platform::upstream_messages messages;
+  version::upstream_id id;
+  connection::http::request_head head;
+  head.method = "PUT";
+  head.target = "/v1/instances/i-7";
+  cr_assert(messages.Classify(head, &id) == process::sidecar::upstream_message::kAnnounce);
+  cr_assert(id.Str() == "i-7");
+  head.method = "DELETE";
+  cr_assert(messages.Classify(head, &id) == process::sidecar::upstream_message::kGoodbye);
+  head.target = "/v1/instances/";
+  cr_assert(messages.Classify(head, &id) == process::sidecar::upstream_message::kOther);
+}
+
+Test(config_document, reads_routes_services_and_limits)
+{
+  platform::config_document document;
+  auto decoded = document.Decode(common::json::parse(R"({"version":7,
+    "routes":{"r1":{"host":"h","prefix":"/a/","kind":"safe","timeoutMs":500,"targetLatencyMs":200,
+      "priority":2,"maxAttempts":3,"weightedServices":[{"service":"x","weight":90},
+      {"service":"y","weight":10}]},
+      "r2":{"host":"h","prefix":"/b/","kind":"unsafe","service":"x"}},
+    "services":{"x":{"sharded":true,"maxConns":120},"y":{}},
+    "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":4000}})"));
+  cr_assert(decoded.has_value());
+  const auto& config = *decoded.assume_value();
+  const version::route_rule* route = config.Find("h", "/a/1");
+  cr_assert(route->idempotent);
+  cr_assert_eq(route->services.size(), 2U);
+  cr_assert_eq(route->maxAttempts, 3U);
+  cr_assert_not(config.Find("h", "/b/")->idempotent);
+  cr_assert(config.Service(common::service_name("x"))->keyed);
+  cr_assert_eq(config.Callers().idleTimeout.count(), 4000);
+}
+
+Test(config_document, refuses_what_is_incomplete)
+{
+  platform::config_document document;
+  for (const char* text : { "{}", R"({"version":"7"})", R"({"version":1,"routes":{"r":{"host":"h"}}})",
+                            R"({"version":1,"routes":{"r":{"host":"h","prefix":"/"}}})" }) {
+    cr_assert_not(document.Decode(common::json::parse(text)).has_value(), "%s", text);
+  }
+}
--- a/tests/process/lease/lease_holder_test.cpp
+++ b/tests/process/lease/lease_holder_test.cpp
@@ -99,3 +99,22 @@
   cr_assert_eq(parts[2].size(), 4U);
   cr_assert_eq(parts[0][0].epoch.Value(), 2U);
 }
+
+// Found by a hunt: a witness restarted, and the change that replaced it was committed while keys were granted
+// on the strength of its last renewal. The new set gave the keys away before the grant had ended.
+Test(lease_holder, a_change_waits_until_the_new_set_vouches_for_what_was_granted)
+{
+  lease_holder holder(lease_terms{});
+  holder.SetWitnesses({ Ref("a"), Ref("b"), Ref("c") });
+  holder.OnRenewed(Ref("a"), AtMs(5000));
+  holder.OnRenewed(Ref("b"), AtMs(5000));
+  common::boot_time grantedUntil = holder.LeaseEnd();
+  cr_assert(grantedUntil == AtMs(5000 + 1980));
+  // "a" has restarted; "c" has been silent for long.
+  holder.BeginChange({ Ref("b"), Ref("c"), Ref("d") });
+  cr_assert_not(holder.MayCommitChange(grantedUntil));
+  holder.OnRenewed(Ref("d"), AtMs(4990));
+  cr_assert_not(holder.MayCommitChange(grantedUntil));
+  holder.OnRenewed(Ref("d"), AtMs(5400));
+  cr_assert(holder.MayCommitChange(grantedUntil));
+}
--- /dev/null
+++ b/tests/request/admission_test.cpp
@@ -0,0 +1,110 @@
+#include "request/load_model.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using common::milliseconds;
+using tests::load_outcome;
+using tests::load_pattern;
+using tests::Replay;
+
+namespace {
+
+// Route lists of the Lechner deployment at one upstream of 14 slots: 233 a second is its capacity.
+load_pattern RouteLists(double aPerSecond)
+{
+  load_pattern pattern;
+  pattern.slots = 14;
+  pattern.classes = {
+    { "route-list", 2, aPerSecond, milliseconds(60), milliseconds(200), milliseconds(500) }
+  };
+  return pattern;
+}
+
+constexpr uint64_t kSeeds[] = { 1, 2, 3, 4, 5 };
+
+} // namespace
+
+Test(admission, under_overload_the_accepted_are_served_in_time)
+{
+  for (uint64_t seed : kSeeds) {
+    load_pattern pattern = RouteLists(233 * 1.5);
+    load_outcome ours = Replay(pattern, true, seed)["route-list"];
+    load_outcome fifo = Replay(pattern, false, seed)["route-list"];
+    // Capacity allows two thirds; the target of the issue is 95 % of the best.
+    cr_assert_gt(double(ours.inTarget) / ours.asked, 0.95 * 2 / 3, "seed %lu: %u of %u", seed,
+                 ours.inTarget, ours.asked);
+    cr_assert_lt(fifo.inTarget, ours.inTarget);
+    cr_assert_lt(ours.brokenPromises, ours.asked / 100);
+  }
+}
+
+Test(admission, five_times_the_capacity_serves_as_much_as_any_load)
+{
+  for (uint64_t seed : kSeeds) {
+    load_outcome full = Replay(RouteLists(233 * 1.2), true, seed)["route-list"];
+    load_outcome flood = Replay(RouteLists(233 * 5), true, seed)["route-list"];
+    cr_assert_gt(flood.inTarget + flood.late, 0.95 * (full.inTarget + full.late), "seed %lu", seed);
+  }
+}
+
+Test(admission, below_its_capacity_nothing_is_rejected_twice)
+{
+  for (uint64_t seed : kSeeds) {
+    load_outcome calm = Replay(RouteLists(233 * 0.6), true, seed)["route-list"];
+    cr_assert_eq(calm.rejectedTwice, 0U);
+    cr_assert_gt(double(calm.inTarget) / calm.asked, 0.99);
+  }
+}
+
+Test(admission, a_burst_is_over_when_it_is_over)
+{
+  load_pattern pattern = RouteLists(233 * 0.7);
+  pattern.burst = 3;
+  pattern.burstFrom = common::seconds(5);
+  pattern.burstUntil = common::seconds(8);
+  for (uint64_t seed : kSeeds) {
+    load_outcome ours = Replay(pattern, true, seed)["route-list"];
+    load_outcome fifo = Replay(pattern, false, seed)["route-list"];
+    cr_assert_gt(ours.inTarget, fifo.inTarget, "seed %lu", seed);
+    cr_assert_lt(ours.longestRejection, milliseconds(500));
+  }
+}
+
+// Calls of other upstreams come first: refusing one wastes the work of the request that needs it.
+Test(admission, urgent_calls_are_served_while_less_urgent_work_is_rejected)
+{
+  load_pattern pattern;
+  pattern.slots = 14;
+  pattern.classes = {
+    { "call", 0, 300, milliseconds(15), milliseconds(60), milliseconds(200) },
+    { "lookup", 2, 120, milliseconds(150), milliseconds(400), milliseconds(1000) }
+  };
+  for (uint64_t seed : kSeeds) {
+    auto outcomes = Replay(pattern, true, seed);
+    cr_assert_gt(outcomes["call"].Served(), 0.99, "seed %lu: %f", seed, outcomes["call"].Served());
+    cr_assert_gt(outcomes["call"].Served(), outcomes["lookup"].Served());
+  }
+}
+
+Test(admission, without_slots_everything_is_rejected)
+{
+  request::admission gate;
+  common::boot_time now{ common::seconds(100) };
+  auto decision = gate.Offer({ "x", 0, now + milliseconds(500), now + milliseconds(200) }, now);
+  cr_assert(decision.verdict == request::admission_verdict::kReject);
+}
+
+Test(admission, a_cancelled_request_never_starts)
+{
+  request::admission gate;
+  gate.SetSlots(1);
+  common::boot_time now{ common::seconds(100) };
+  request::admission_request request{ "x", 0, now + milliseconds(500), now + milliseconds(200) };
+  auto first = gate.Offer(request, now);
+  auto second = gate.Offer(request, now);
+  cr_assert(second.verdict == request::admission_verdict::kWait);
+  gate.OnCancelled(second.ticket);
+  gate.OnFinished(first.ticket, true, now + milliseconds(10));
+  cr_assert_not(gate.Next(now + milliseconds(10)).has_value());
+}
--- /dev/null
+++ b/tests/version/key_map_test.cpp
@@ -0,0 +1,130 @@
+#include "version/key_plan.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using version::held_range;
+using version::key_range;
+
+namespace {
+
+version::key_owner OwnerOf(std::vector<held_range> aRanges)
+{
+  version::key_owner owner;
+  owner.vm = "a";
+  owner.ranges = std::move(aRanges);
+  return owner;
+}
+
+held_range Held(uint32_t aFirst, uint32_t aLast, uint64_t aToken, std::string aHandover = "")
+{
+  return { { aFirst, aLast }, version::fence(aToken), std::move(aHandover) };
+}
+
+} // namespace
+
+Test(key_map, taking_a_range_leaves_its_sides)
+{
+  auto owner = OwnerOf({ Held(0, 99, 3, "h") });
+  version::TakeRange(&owner, { 40, 49 });
+  cr_assert(owner.ranges == (std::vector<held_range>{ Held(0, 39, 3, "h"), Held(50, 99, 3, "h") }));
+  version::TakeRange(&owner, { 0, 60 });
+  cr_assert(owner.ranges == std::vector<held_range>{ Held(61, 99, 3, "h") });
+  version::TakeRange(&owner, { 0, 65535 });
+  cr_assert(owner.ranges.empty());
+}
+
+Test(key_map, given_ranges_join_only_neighbours_of_equal_token)
+{
+  auto owner = OwnerOf({ Held(0, 9, 1) });
+  version::GiveRange(&owner, Held(20, 29, 2));
+  version::GiveRange(&owner, Held(10, 19, 1));
+  cr_assert(owner.ranges == (std::vector<held_range>{ Held(0, 19, 1), Held(20, 29, 2) }));
+}
+
+Test(key_map, finds_the_owner_of_each_key_and_the_gaps)
+{
+  version::key_map map;
+  map.owners = { OwnerOf({ Held(10, 19, 1) }), OwnerOf({ Held(30, 30, 2) }) };
+  map.owners[1].vm = "b";
+  cr_assert_null(map.Find(9));
+  cr_assert(map.Find(10)->vm == "a");
+  cr_assert(map.Find(19)->vm == "a");
+  cr_assert_null(map.Find(20));
+  cr_assert(map.Find(30)->vm == "b");
+  cr_assert(map.Unowned() ==
+            (std::vector<key_range>{ { 0, 9 }, { 20, 29 }, { 31, version::kKeyPositions - 1 } }));
+}
+
+Test(key_map, survives_its_encoding)
+{
+  boost::intrusive_ptr<version::key_map> map(new version::key_map());
+  map->service = common::service_name("s");
+  map->lastFence = version::fence(9);
+  map->owners = { OwnerOf({ Held(0, 5, 9, "token") }) };
+  map->owners[0].session = common::session_id("x");
+  map->owners[0].witnesses = { { common::endpoint("127.0.0.1:1"), common::boot_id("b") } };
+  auto decoded = version::DecodeKeyMap(version::EncodeKeyMap(*map));
+  cr_assert_not_null(decoded.get());
+  cr_assert(decoded->owners[0].ranges == map->owners[0].ranges);
+  cr_assert(decoded->owners[0].witnesses == map->owners[0].witnesses);
+  cr_assert(decoded->owners[0].session == map->owners[0].session);
+  cr_assert_eq(decoded->lastFence.Value(), 9U);
+}
+
+Test(key_map, refuses_what_is_not_a_map)
+{
+  for (const char* text :
+       { "{}", "[]", "7", R"({"service":"s","owners":[{}]})",
+         R"({"service":"s","owners":[{"vm":"a","ranges":[[5,4,1,""]]}]})",
+         R"({"service":"s","owners":[{"vm":"a","ranges":[[0,65536,1,""]]}]})",
+         R"({"service":"s","owners":[{"vm":"a","ranges":[[0,"x",1,""]]}]})" }) {
+    cr_assert_null(version::DecodeKeyMap(common::json::parse(text)).get(), "%s", text);
+  }
+}
+
+Test(key_plan, covers_every_key_once_in_proportion_to_the_slots)
+{
+  auto plan = version::SpreadKeys({ { 0, version::kKeyPositions - 1 } },
+                                  { { "a", 10 }, { "b", 10 }, { "c", 20 } }, nullptr);
+  uint32_t next = 0;
+  std::map<std::string, uint32_t> sizes;
+  for (const version::key_assignment& part : plan) {
+    cr_assert_eq(part.range.first, next);
+    next = part.range.last + 1;
+    sizes[part.vm] += part.range.Size();
+  }
+  cr_assert_eq(next, version::kKeyPositions);
+  cr_assert_float_eq(sizes["c"], version::kKeyPositions / 2.0, 2);
+  cr_assert_float_eq(sizes["a"], version::kKeyPositions / 4.0, 2);
+}
+
+Test(key_plan, cuts_by_load_where_it_is_known)
+{
+  static version::key_load load;
+  for (int i = 0; i < 1000; ++i) {
+    load.Count(100);
+    load.Count(101);
+  }
+  auto plan = version::SpreadKeys({ { 0, 1000 } }, { { "a", 1 }, { "b", 1 } }, &load);
+  cr_assert_eq(plan.size(), 2U);
+  cr_assert_eq(plan[0].range.last, 100U);
+}
+
+Test(key_load, finds_the_narrowest_range_with_the_wanted_load)
+{
+  static version::key_load load;
+  for (uint32_t key = 200; key < 300; ++key) {
+    load.Count(key);
+  }
+  for (int i = 0; i < 10; ++i) {
+    load.Count(250);
+  }
+  auto found = load.Narrowest({ 0, 1000 }, 15, 25);
+  cr_assert(found.has_value());
+  cr_assert(found->Contains(250));
+  cr_assert_leq(found->Size(), 6U);
+  cr_assert_not(load.Narrowest({ 0, 100 }, 1, 10).has_value());
+  // One key that is hotter than wanted is left where it is.
+  cr_assert_not(load.Narrowest({ 250, 250 }, 5, 8).has_value());
+}
