--- /dev/null
+++ b/tests/platform/fleet_fixture.cpp
@@ -0,0 +1,204 @@
+#include "fleet_fixture.h"
+
+#include <criterion/criterion.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace bamboograde::tests {
+
+namespace {
+
+// The service that is divided by key.
+constexpr char kKeyedService[] = "keyed";
+constexpr char kTableAddress[] = "127.0.9.9:7999";
+constexpr common::milliseconds kAnnouncePeriod{ 100 };
+constexpr common::milliseconds kPatience{ 2000 };
+
+common::json Route(const std::string& aPrefix, const std::string& aKind,
+                   const std::string& aService)
+{
+  return { { "host", "h.example" }, { "prefix", aPrefix },       { "kind", aKind },
+           { "service", aService }, { "timeoutMs", 2000 },       { "targetLatencyMs", 500 },
+           { "priority", 1 },       { "maxAttempts", 2 } };
+}
+
+// One call of the test; collects the answer with its headers.
+class asker : public connection::http::call_observer
+{
+public:
+  void OnCallHead(connection::http::response_head& aHead) override
+  {
+    answer.status = aHead.status;
+  }
+  void OnCallBody(std::string_view aBytes) override { answer.body.append(aBytes); }
+  void OnCallEnd() override { done = true; }
+  void OnCallFailed(const connection::http::call_error&) override
+  {
+    answer.status = 0;
+    done = true;
+  }
+
+  fleet_answer answer;
+  bool done = false;
+};
+
+} // namespace
+
+fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
+                   const std::string& aService, fleet_record& aRecord)
+  : mVm("127.0.9." + std::to_string(aNumber))
+  , mService(aService)
+  , mNumber(aNumber)
+  , mSettingsPath("/tmp/bamboograde-fleet-" + std::to_string(getpid()) + "-" +
+                  std::to_string(aNumber) + ".yaml")
+{
+  upstream_standin_plan plan;
+  plan.vm = mVm;
+  plan.service = aService;
+  plan.address = common::endpoint(mVm + ":7000");
+  plan.daemon = common::endpoint(mVm + ":7005");
+  plan.announcePeriod = kAnnouncePeriod;
+  upstream = std::make_unique<upstream_standin>(aLoop, plan, aRecord);
+  cr_assert(upstream->Start().has_value());
+  WriteSettings();
+  StartDaemon();
+}
+
+fleet_vm::~fleet_vm()
+{
+  KillDaemon();
+  unlink(mSettingsPath.c_str());
+}
+
+void fleet_vm::WriteSettings() const
+{
+  std::ofstream(mSettingsPath) << "vm: " << mVm << "\nzone: zone" << mNumber % 3
+                               << "\nservice: " << mService << "\nupstream: " << mVm << ":7000"
+                               << "\nplatform: " << kTableAddress
+                               << "\nannounce_period_ms: " << kAnnouncePeriod.count()
+                               << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
+                               << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
+                               << ":7004\n  announcements: " << mVm
+                               << ":7005\nbounds:\n  grace_s: 4\n";
+}
+
+void fleet_vm::StartDaemon()
+{
+  std::string settings = "--settings=" + mSettingsPath;
+  mDaemon = fork();
+  if (mDaemon == 0) {
+    // The daemon ends with the test, also when that fails.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int silent = open("/dev/null", O_WRONLY);
+    dup2(silent, STDOUT_FILENO);
+    execl(BAMBOOGRADE_SIDECAR, BAMBOOGRADE_SIDECAR, settings.c_str(), nullptr);
+    _exit(127);
+  }
+  cr_assert_gt(mDaemon, 0);
+}
+
+void fleet_vm::KillDaemon()
+{
+  if (mDaemon > 0) {
+    kill(mDaemon, SIGKILL);
+    waitpid(mDaemon, nullptr, 0);
+    mDaemon = -1;
+  }
+}
+
+void fleet_vm::StopDaemon()
+{
+  kill(mDaemon, SIGTERM);
+}
+
+bool fleet_vm::DaemonEnded()
+{
+  int status = 0;
+  if (mDaemon > 0 && waitpid(mDaemon, &status, WNOHANG) == mDaemon) {
+    cr_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0, "the daemon ended badly");
+    mDaemon = -1;
+  }
+  return mDaemon < 0;
+}
+
+fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices)
+  : table(loop)
+  , mClients(loop)
+{
+  cr_assert(table.Listen(common::endpoint(kTableAddress)).has_value());
+  Configure(1);
+  unsigned number = 0;
+  for (const std::string& service : aServices) {
+    vms.push_back(std::make_unique<fleet_vm>(loop, ++number, service, record));
+  }
+}
+
+void fleet_fixture::Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix)
+{
+  common::json routes = { { "keyed", Route("/keyed/", "safe", kKeyedService) },
+                          { "plain", Route("/plain/", "safe", "plain") },
+                          { "book", Route("/book/", "unsafe", "plain") } };
+  if (!aExtraRoutePrefix.empty()) {
+    routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain");
+  }
+  table.Put("op", "config",
+            { { "version", aVersion },
+              { "routes", routes },
+              { "services",
+                { { kKeyedService, { { "sharded", true } } }, { "plain", common::json::object() } } },
+              { "limits", { { "idleTimeoutMs", 5000 } } } });
+}
+
+void fleet_fixture::RunFor(common::milliseconds aTime)
+{
+  connection::http::loop_timer end(loop, [this] { loop.Quit(); });
+  end.Arm(loop.Now() + aTime);
+  loop.Run();
+}
+
+void fleet_fixture::RunUntil(const std::function<bool()>& aCondition, common::milliseconds aMost,
+                             const char* aWhat)
+{
+  common::boot_time until = loop.Now() + aMost;
+  while (!aCondition()) {
+    cr_assert(loop.Now() < until, "not in time: %s", aWhat);
+    RunFor(common::milliseconds(5));
+  }
+}
+
+fleet_answer fleet_fixture::Ask(size_t aVm, const std::string& aMethod, const std::string& aPath,
+                                const std::string& aKey, const std::string& aBody)
+{
+  connection::http::request_head head;
+  head.method = aMethod;
+  head.target = aPath;
+  head.headers.Add("Host", "h.example");
+  head.headers.Add("X-Bamboograde-Request-Id", std::to_string(++mLastId));
+  head.headers.Add("X-Bamboograde-Deadline-Ms", std::to_string(kPatience.count()));
+  if (!aKey.empty()) {
+    head.headers.Add("X-Bamboograde-Shard-Key", aKey);
+  }
+  if (!aBody.empty()) {
+    head.body = { connection::http::body_framing::kLength, aBody.size() };
+  }
+  asker observer;
+  auto call = mClients.Send(vms[aVm]->Callers(), head, aBody, true, loop.Now() + kPatience,
+                            &observer);
+  RunUntil([&observer] { return observer.done; }, 2 * kPatience, "an answer");
+  return observer.answer;
+}
+
+bool fleet_fixture::WholeSpaceHeld() const
+{
+  size_t held = 0;
+  for (const auto& vm : vms) {
+    held += vm->upstream->HeldKeys();
+  }
+  return held == version::kKeyPositions;
+}
+
+} // namespace bamboograde::tests
