Serve short calls before long requests of their rank; notice silent peers

Ruled out: ranks (the same for both), placement. Change: within a rank, requests that take at most 0.4 of its longest go first, in order and in admission. Also: a daemon that owes an answer and is silent is asked for a sign of life; requests that may run again move on if the budget has room.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -218,7 +218,7 @@
   if (aTarget.vm == mContext.process.settings.vm) {
     mAttempt = new local_attempt(mContext.process, mContext.gate, mExchange->Head(), mFacts, this);
   } else {
-    mAttempt = new remote_attempt(mContext.process, mContext.placement, aTarget,
+    mAttempt = new remote_attempt(mContext.process, mContext.placement, mContext.watch, aTarget,
                                   mExchange->Head(), mFacts, this);
   }
   request::attempt_ptr attempt = mAttempt;
@@ -356,7 +356,9 @@
   }
   mRelay.Discard();
   mMayHaveRun = true;
-  if (mFacts.idempotent && MayRepeat()) {
+  bool granted = mRepeatGranted;
+  mRepeatGranted = false;
+  if (mFacts.idempotent && (granted || MayRepeat())) {
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [&] { return Describe("repeated", aFailure.reason); });
@@ -372,6 +374,13 @@
   mBody.Pump(*mAttempt);
 }
 
+bool entry_request::OnAttemptSilent()
+{
+  // The owner of a key is the only one that could answer.
+  mRepeatGranted = !mFacts.key.has_value() && !mRelay.Started() && MayRepeat();
+  return mRepeatGranted;
+}
+
 void entry_request::OnDeadline()
 {
   boost::intrusive_ptr<entry_request> self(this);
@@ -456,6 +465,7 @@
     std::chrono::duration_cast<common::microseconds>(mContext.process.Now() - mArrivedAt);
   common::json line = { { "request", mFacts.id.Str() },
                         { "route", mFacts.work },
+                        { "rank", mFacts.rank },
                         { "service", mFacts.service.Str() },
                         { "config", mConfigVersion.Value() },
                         { "outcome", aOutcome },
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "process/sidecar/local_attempt.h"
+#include "process/sidecar/peer_watch.h"
 #include "process/sidecar/request_body.h"
 #include "process/sidecar/response_relay.h"
 #include "request/placement.h"
@@ -17,6 +18,7 @@
   runtime& process;
   upstream_gate& gate;
   request::placement& placement;
+  peer_watch& watch;
   // Budget of repeats, by service.
   std::map<common::service_name, request::shared_budget>& budgets;
   // Requests that wait for a change of a key map.
@@ -68,6 +70,7 @@
   void OnAttemptRefused(const request::attempt_refusal& aRefusal) override;
   void OnAttemptFailed(const request::attempt_failure& aFailure) override;
   void OnAttemptWritable() override;
+  bool OnAttemptSilent() override;
 
   entry_context& mContext;
   connection::http::server_exchange_ptr mExchange;
@@ -90,6 +93,8 @@
   std::string mLastRefusal;
   common::microseconds mRetryAfter{ 0 };
   bool mPlaced = false;
+  // A repeat has been taken from the budget ahead of the attempt's end.
+  bool mRepeatGranted = false;
   boost::intrusive_ptr<entry_request> mSelf;
 };
 
--- a/src/process/sidecar/remote_attempt.cpp
+++ b/src/process/sidecar/remote_attempt.cpp
@@ -12,13 +12,13 @@
 } // namespace
 
 remote_attempt::remote_attempt(runtime& aRuntime, request::placement& aPlacement,
-                               const version::member& aTarget,
+                               peer_watch& aWatch, const version::member& aTarget,
                                connection::http::request_head aHead,
                                request::request_facts aFacts, request::attempt_observer* aObserver)
   : mRuntime(aRuntime)
   , mPlacement(aPlacement)
-  , mVm(aTarget.vm)
-  , mTarget(aTarget.forward)
+  , mWatch(aWatch)
+  , mTarget(aTarget)
   , mHead(std::move(aHead))
   , mFacts(std::move(aFacts))
   , mObserver(aObserver)
@@ -35,18 +35,20 @@
   common::boot_time now = mRuntime.Now();
   mHead.headers.Add(kFactsHeader, common::Dump(request::EncodeFacts(mFacts, now)));
   mOpen = true;
-  mPlacement.OnSent(mVm);
-  mCall = mRuntime.pool.Send(mTarget, mHead, aBody, aBodyDone,
+  mPlacement.OnSent(mTarget.vm);
+  mWatch.OnSent(mTarget, this);
+  mCall = mRuntime.pool.Send(mTarget.forward, mHead, aBody, aBodyDone,
                              std::min(mFacts.deadline, now + kConnectTimeout), this);
 }
 
 void remote_attempt::OnCallHead(connection::http::response_head& aHead)
 {
   mAnswered = true;
+  mWatch.OnHeard(mTarget.vm);
   if (const std::string* load = aHead.headers.Find(kLoadHeader); load != nullptr) {
     auto report = common::ParseJson(*load);
     if (report.has_value()) {
-      mPlacement.OnReport(mVm, request::DecodeLoad(report.assume_value()), mRuntime.Now());
+      mPlacement.OnReport(mTarget.vm, request::DecodeLoad(report.assume_value()), mRuntime.Now());
     }
   }
   if (const std::string* refusal = aHead.headers.Find(kRefusalHeader); refusal != nullptr) {
@@ -60,7 +62,7 @@
     return;
   }
   aHead.headers.Remove(kLoadHeader);
-  mPlacement.OnSuccess(mVm);
+  mPlacement.OnSuccess(mTarget.vm);
   if (mObserver != nullptr) {
     mObserver->OnAttemptHead(aHead);
   }
@@ -96,7 +98,7 @@
   request::attempt_ptr self(this);
   End();
   mCall.reset();
-  mPlacement.OnFailure(mVm, mRuntime.Now());
+  mPlacement.OnFailure(mTarget.vm, mRuntime.Now());
   auto* observer = TakeObserver();
   if (observer == nullptr) {
     return;
@@ -108,6 +110,21 @@
   }
 }
 
+void remote_attempt::OnPeerSilent()
+{
+  request::attempt_ptr self(this);
+  // What must not run twice goes on waiting for its answer.
+  bool abandons = mFacts.idempotent && !mAnswered && mObserver != nullptr &&
+                  mObserver->OnAttemptSilent();
+  if (!abandons) {
+    return;
+  }
+  auto* observer = TakeObserver();
+  Cancel();
+  mRuntime.pool.DropIdle(mTarget.forward);
+  observer->OnAttemptFailed({ "peer is silent" });
+}
+
 void remote_attempt::Cancel()
 {
   mObserver = nullptr;
@@ -116,8 +133,8 @@
   }
   if (!mAnswered && mFacts.deadline <= mRuntime.Now()) {
     // Silent to the end: the connections kept to this daemon may be dead.
-    mRuntime.pool.DropIdle(mTarget);
-    mPlacement.OnFailure(mVm, mRuntime.Now());
+    mRuntime.pool.DropIdle(mTarget.forward);
+    mPlacement.OnFailure(mTarget.vm, mRuntime.Now());
   }
   mCall->Cancel();
   mCall.reset();
@@ -128,7 +145,8 @@
 {
   if (mOpen) {
     mOpen = false;
-    mPlacement.OnEnded(mVm);
+    mPlacement.OnEnded(mTarget.vm);
+    mWatch.OnEnded(mTarget.vm, this);
   }
 }
 
--- a/src/process/sidecar/remote_attempt.h
+++ b/src/process/sidecar/remote_attempt.h
@@ -1,7 +1,7 @@
 // An attempt at the upstream beside another daemon, by way of that daemon's gate.
 #pragma once
 
-#include "process/sidecar/runtime.h"
+#include "process/sidecar/peer_watch.h"
 #include "request/attempt.h"
 
 namespace bamboograde::process::sidecar {
@@ -15,11 +15,12 @@
 class remote_attempt
   : public request::attempt
   , private connection::http::call_observer
+  , private peer_client
 {
 public:
-  remote_attempt(runtime& aRuntime, request::placement& aPlacement, const version::member& aTarget,
-                 connection::http::request_head aHead, request::request_facts aFacts,
-                 request::attempt_observer* aObserver);
+  remote_attempt(runtime& aRuntime, request::placement& aPlacement, peer_watch& aWatch,
+                 const version::member& aTarget, connection::http::request_head aHead,
+                 request::request_facts aFacts, request::attempt_observer* aObserver);
   ~remote_attempt() override;
 
   void Start(std::string aBody, bool aBodyDone) override;
@@ -38,14 +39,16 @@
   void OnCallEnd() override;
   void OnCallFailed(const connection::http::call_error& aError) override;
   void OnCallWritable() override;
+  // peer_client
+  void OnPeerSilent() override;
 
   void End();
   request::attempt_observer* TakeObserver();
 
   runtime& mRuntime;
   request::placement& mPlacement;
-  std::string mVm;
-  common::endpoint mTarget;
+  peer_watch& mWatch;
+  version::member mTarget;
   connection::http::request_head mHead;
   request::request_facts mFacts;
   request::attempt_observer* mObserver;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -110,7 +110,9 @@
       return;
     }
     common::json answer;
-    if (path == kExchangePath) {
+    if (path == kPingPath) {
+      answer = common::json::object();
+    } else if (path == kExchangePath) {
       answer = mSidecar.mGossip.OnExchange(body.assume_value());
     } else if (path == kRenewPath) {
       answer = mSidecar.mTakeover.OnRenew(body.assume_value());
@@ -205,12 +207,13 @@
   , mPlacement(mRandom)
   , mGate(mRuntime, mSuspects)
   , mMessenger(mRuntime)
+  , mWatch(mRuntime, mMessenger, mPlacement)
   , mGossip(mRuntime, mMessenger, mSuspects)
   , mEditor(mRuntime, aPorts.store)
   , mKeys(mRuntime, mEditor, mMessenger, mGossip, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mGossip, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { TellFleet(); })
-  , mEntry{ mRuntime, mGate, mPlacement, mBudgets, mWaiting, mClosing }
+  , mEntry{ mRuntime, mGate, mPlacement, mWatch, mBudgets, mWaiting, mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
@@ -310,6 +313,7 @@
   mTickedAt = now;
   mTimer.Arm(now + kTick);
   mGate.Tick();
+  mWatch.Tick();
   mRegistry.Tick();
   mKeys.Tick();
   mTakeover.Tick();
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -75,6 +75,7 @@
   request::placement mPlacement;
   upstream_gate mGate;
   peer_messenger mMessenger;
+  peer_watch mWatch;
   gossip mGossip;
   key_map_editor mEditor;
   key_holder mKeys;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -18,6 +18,8 @@
 constexpr double kLateWaitShare = 0.4;
 // Less urgent work that keeps more than this share of the slots busy gives way to more urgent work.
 constexpr double kNoticeableShare = 0.05;
+// A request that takes at most this share of the longest of its rank goes before those.
+constexpr double kShortShare = 0.4;
 // Time over which arriving work is averaged.
 constexpr common::milliseconds kLoadWindow{ 1000 };
 // More urgent work is never assumed to leave less than the rest of the slots.
@@ -51,9 +53,19 @@
   return found == mServiceTimes.end() ? kUnknownServiceTime : found->second;
 }
 
+admission::urgency admission::UrgencyOf(const admission_request& aRequest) const
+{
+  common::microseconds longest{ 0 };
+  for (const auto& [work, rank] : mRanks) {
+    longest = rank == aRequest.rank ? std::max(longest, ServiceTime(work)) : longest;
+  }
+  return { aRequest.rank, ServiceTime(aRequest.work) > Scale(longest, kShortShare) };
+}
+
 void admission::NoteArrival(const admission_request& aRequest, common::boot_time aNow)
 {
-  rank_load& load = mLoads[aRequest.rank];
+  mRanks[aRequest.work] = aRequest.rank;
+  arriving_load& load = mLoads[UrgencyOf(aRequest)];
   load.slots *= Remaining(aNow - load.updatedAt);
   load.updatedAt = aNow;
   std::chrono::duration<double> time = ServiceTime(aRequest.work);
@@ -61,25 +73,26 @@
   load.slots += time.count() / window.count();
 }
 
-double admission::MoreUrgentShare(unsigned aRank, common::boot_time aNow) const
+double admission::MoreUrgentShare(const urgency& aUrgency, common::boot_time aNow) const
 {
   double busy = 0;
-  for (const auto& [rank, load] : mLoads) {
-    busy += rank < aRank ? load.slots * Remaining(aNow - load.updatedAt) : 0;
+  for (const auto& [urgency, load] : mLoads) {
+    busy += urgency < aUrgency ? load.slots * Remaining(aNow - load.updatedAt) : 0;
   }
   return std::min(busy / mSlots, kMostUrgentShare);
 }
 
-double admission::LessUrgentShare(unsigned aRank, common::boot_time aNow) const
+double admission::LessUrgentShare(const urgency& aUrgency, common::boot_time aNow) const
 {
   double busy = 0;
-  for (const auto& [rank, load] : mLoads) {
-    busy += rank > aRank ? load.slots * Remaining(aNow - load.updatedAt) : 0;
+  for (const auto& [urgency, load] : mLoads) {
+    busy += urgency > aUrgency ? load.slots * Remaining(aNow - load.updatedAt) : 0;
   }
   return busy / mSlots;
 }
 
-common::microseconds admission::ExpectedWait(unsigned aRank, common::boot_time aNow) const
+common::microseconds admission::ExpectedWait(const urgency& aUrgency,
+                                             common::boot_time aNow) const
 {
   if (mSlots == 0) {
     return common::microseconds::max();
@@ -87,7 +100,7 @@
   if (mRunning.size() < mSlots && mWaiting.empty()) {
     return common::microseconds(0);
   }
-  // Work in front: what is left of the running requests, and what waits with this rank or before it.
+  // Work in front: what is left of the running requests, and what waits and is no less urgent.
   common::microseconds work{ 0 };
   for (const auto& [ticket, running] : mRunning) {
     common::microseconds usual = ServiceTime(running.request.work);
@@ -95,9 +108,9 @@
     work += std::max(usual - spent, usual / 4);
   }
   for (const auto& [key, waiting] : mWaiting) {
-    work += key.rank <= aRank ? ServiceTime(waiting.request.work) : common::microseconds(0);
+    work += key.urgency <= aUrgency ? ServiceTime(waiting.request.work) : common::microseconds(0);
   }
-  return Scale(work / mSlots, 1 / (1 - MoreUrgentShare(aRank, aNow)));
+  return Scale(work / mSlots, 1 / (1 - MoreUrgentShare(aUrgency, aNow)));
 }
 
 admission_decision admission::Offer(const admission_request& aRequest, common::boot_time aNow)
@@ -111,16 +124,17 @@
     return decision;
   }
   common::microseconds usual = ServiceTime(aRequest.work);
-  decision.expectedWait = ExpectedWait(aRequest.rank, aNow);
+  urgency urgent = UrgencyOf(aRequest);
+  decision.expectedWait = ExpectedWait(urgent, aNow);
   bool inTime = aNow + usual <= aRequest.target;
-  bool mayWait = LessUrgentShare(aRequest.rank, aNow) > kNoticeableShare ||
+  bool mayWait = LessUrgentShare(urgent, aNow) > kNoticeableShare ||
                  (inTime ? aNow + decision.expectedWait + usual <= aRequest.target
                          : decision.expectedWait <= Scale(usual, kLateWaitShare));
   bool possible = mSlots > 0 && aNow + decision.expectedWait + usual <= aRequest.deadline;
   if (!mayWait || !possible) {
     return decision;
   }
-  order_key key{ aRequest.rank, decision.ticket };
+  order_key key{ urgent, decision.ticket };
   mWaiting[key] = { aRequest, {} };
   mWaitingKeys.emplace(decision.ticket, key);
   decision.verdict = admission_verdict::kWait;
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -1,7 +1,9 @@
 // Decides which requests an upstream runs, which wait, and which are rejected.
 //
 // The gate beside an upstream sends it at most as many requests as it has slots, so that the upstream's
-// own queue stays empty and everything that waits does so here, by rank and then in order of arrival.
+// own queue stays empty and everything that waits does so here: by rank, within a rank much shorter
+// requests first, which are mostly calls that other upstreams need for their own work, and then in order
+// of arrival.
 // Whether a request may wait is decided once, on arrival, so that what is accepted is served and what is
 // rejected knows at once: one that will make its target latency may wait; one that can only be late may
 // wait only while little is in front of it, because under overload it would take the place of one that
@@ -80,25 +82,33 @@
     admission_request request;
     common::boot_time startedAt;
   };
+  // Lower is more urgent.
+  struct urgency
+  {
+    unsigned rank = 0;
+    // Takes about as long as the longest requests of its rank.
+    bool isLong = true;
+    auto operator<=>(const urgency&) const = default;
+  };
   struct order_key
   {
-    unsigned rank;
+    admission::urgency urgency;
     ticket_number ticket;
     auto operator<=>(const order_key&) const = default;
   };
-  // Work that arrives with one rank, in slots that it keeps busy.
-  struct rank_load
+  // Work that arrives with one urgency, in slots that it keeps busy.
+  struct arriving_load
   {
     double slots = 0;
     common::boot_time updatedAt;
   };
 
-  // How long a request of this rank will wait.
-  common::microseconds ExpectedWait(unsigned aRank, common::boot_time aNow) const;
+  urgency UrgencyOf(const admission_request& aRequest) const;
+  common::microseconds ExpectedWait(const urgency& aUrgency, common::boot_time aNow) const;
   // The share of the slots that more urgent requests will keep busy.
-  double MoreUrgentShare(unsigned aRank, common::boot_time aNow) const;
+  double MoreUrgentShare(const urgency& aUrgency, common::boot_time aNow) const;
   // The share of the slots that less urgent requests ask for.
-  double LessUrgentShare(unsigned aRank, common::boot_time aNow) const;
+  double LessUrgentShare(const urgency& aUrgency, common::boot_time aNow) const;
   void NoteArrival(const admission_request& aRequest, common::boot_time aNow);
 
   unsigned mSlots = 0;
@@ -106,7 +116,9 @@
   std::map<order_key, entry> mWaiting;
   std::map<ticket_number, order_key> mWaitingKeys;
   std::map<ticket_number, entry> mRunning;
-  std::map<unsigned, rank_load> mLoads;
+  std::map<urgency, arriving_load> mLoads;
+  // The rank with which requests of each class come.
+  std::map<std::string, unsigned> mRanks;
   std::map<std::string, common::microseconds> mServiceTimes;
   common::microseconds mMeanServiceTime{ 0 };
 };
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -87,6 +87,22 @@
   }
 }
 
+// One upstream is left for both: calls are short and of the same rank as the long requests.
+Test(admission, short_calls_are_served_before_long_requests_of_their_rank)
+{
+  load_pattern pattern;
+  pattern.slots = 14;
+  pattern.classes = {
+    { "call", 1, 350, milliseconds(15), milliseconds(60), milliseconds(200) },
+    { "confirm", 1, 186, milliseconds(90), milliseconds(250), milliseconds(600) }
+  };
+  for (uint64_t seed : kSeeds) {
+    auto outcomes = Replay(pattern, true, seed);
+    cr_assert_gt(outcomes["call"].Served(), 0.98, "seed %lu: %f", seed, outcomes["call"].Served());
+    cr_assert_lt(outcomes["confirm"].brokenPromises, outcomes["confirm"].asked / 50);
+  }
+}
+
 Test(admission, without_slots_everything_is_rejected)
 {
   request::admission gate;
