Keep drain times when keys can not be handed over

Change: the gate closes when the leaving upstream's drain time or half of the daemon's grace time is over; commits wait while the store gives no answers.

--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -159,7 +159,7 @@
     mGate.KeyLoad().Decay();
   }
   if (!Joined()) {
-    if (!mLeaving && now >= mJoinAt && mGate.Ready()) {
+    if (!mLeaving && now >= mJoinAt && mGate.Ready() && mEditor.Healthy()) {
       mJoinAt = now + kRetryJoin;
       Join();
     }
@@ -521,7 +521,7 @@
 
 void key_holder::CommitDepartures()
 {
-  if (mDepartures.empty() || mEditor.Busy()) {
+  if (mDepartures.empty() || mEditor.Busy() || !mEditor.Healthy()) {
     return;
   }
   bool lapsed = mRuntime.Now() >= mGrantEnd;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -415,6 +415,8 @@
   mStopAt = now + mSettings.bounds.grace - kEndMargin;
   mQuietSince = now;
   mLog.Write(line_class::kState, "stopping", [] { return common::json::object(); });
+  // What other daemons still send has the other half of the time to finish.
+  mGate.CloseAt(now + mSettings.bounds.grace / 2);
   TellFleet();
   mKeys.BeginLeaving();
 }
--- a/src/process/sidecar/sidecar_settings.cpp
+++ b/src/process/sidecar/sidecar_settings.cpp
@@ -111,6 +111,7 @@
     { "listen.readiness", { true, Address(&listen.readiness) } },
     { "listen.announcements", { true, Address(&listen.announcements) } },
     { "bounds.grace_s", { false, Millis(&bounds.grace, kSecond) } },
+    { "bounds.drain_ms", { false, Millis(&bounds.drain, kMillisecond) } },
     { "bounds.retry_ratio", { false, Number(&bounds.retryRatio) } },
     { "bounds.retry_slack", { false, Number(&bounds.retrySlack) } },
     { "bounds.retry_window_s", { false, Millis(&bounds.retryWindow, kSecond) } },
--- a/src/process/sidecar/sidecar_settings.h
+++ b/src/process/sidecar/sidecar_settings.h
@@ -30,6 +30,8 @@
 {
   // How long after SIGTERM the process may run.
   common::milliseconds grace{ 6000 };
+  // How long after it has said that it leaves an upstream may still get requests.
+  common::milliseconds drain{ 2000 };
   // Repeats that all daemons may make for each request of a service, and besides, in each window.
   double retryRatio = 0.2;
   double retrySlack = 50;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -9,6 +9,8 @@
 // A request for a key that is about to arrive or leave waits for at most this share of its time.
 constexpr double kParkShare = 0.2;
 // Weight of the newest reading in the utilization; readings are taken at each tick.
+// Requests on their way to a leaving upstream arrive before its time is over.
+constexpr common::milliseconds kDrainMargin{ 200 };
 constexpr double kReadingWeight = 0.1;
 
 } // namespace
@@ -27,6 +29,7 @@
   mService = aAnnouncement.service;
   mKeys.clear();
   mHeldBack.clear();
+  mCloseAt = common::boot_time::max();
   OnUpstreamUpdated(aAnnouncement);
 }
 
@@ -48,9 +51,15 @@
   mBrokenOff.clear();
 }
 
+void upstream_gate::CloseAt(common::boot_time aTime)
+{
+  mCloseAt = std::min(mCloseAt, aTime);
+}
+
 void upstream_gate::OnUpstreamLeaving()
 {
   mReady = false;
+  CloseAt(mRuntime.Now() + mRuntime.settings.bounds.drain - kDrainMargin);
   const version::service_rule* service =
     mRuntime.fleet.Config() == nullptr ? nullptr : mRuntime.fleet.Config()->Service(mService);
   bool keyed = service != nullptr && service->keyed;
@@ -108,7 +117,7 @@
     TurnAway(aClient, request::refusal_reason::kCrashSuspect);
     return;
   }
-  if (aFacts.service != mService || mUpstream.Empty()) {
+  if (aFacts.service != mService || mUpstream.Empty() || Closed()) {
     TurnAway(aClient, request::refusal_reason::kNoUpstream);
     return;
   }
@@ -266,7 +275,9 @@
     mTickets.erase(client);
     TurnAway(client, request::refusal_reason::kOverloaded);
   }
-  if (!mParked.empty()) {
+  if (Closed()) {
+    TurnAwayWaiting(request::refusal_reason::kNoUpstream);
+  } else if (!mParked.empty()) {
     RetryParked();
   }
   double reading = mAdmission.Slots() == 0 ? 0
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -50,6 +50,8 @@
   // Takes no more work; what waits is turned away.
   void OnUpstreamLeaving();
   void OnUpstreamGone();
+  // Nothing is sent to this start of the upstream from then on.
+  void CloseAt(common::boot_time aTime);
 
   // Keys that the upstream holds until the given time. Replaces the former ones.
   void SetKeys(std::vector<version::held_range> aRanges, common::boot_time aUntil);
@@ -98,6 +100,7 @@
     kElsewhere,
   };
 
+  bool Closed() const { return mRuntime.Now() >= mCloseAt; }
   key_answer LookUp(uint32_t aKey) const;
   bool OwnedHere(uint32_t aKey) const;
   void Admit(const request::request_facts& aFacts, gate_client* aClient);
@@ -115,6 +118,7 @@
   version::upstream_id mUpstream;
   common::service_name mService;
   bool mReady = false;
+  common::boot_time mCloseAt = common::boot_time::max();
   std::vector<version::held_range> mKeys;
   common::boot_time mKeysUntil;
   std::vector<version::key_range> mHeldBack;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -184,3 +184,19 @@
     kTakeoverTime + common::milliseconds(2000), "handover");
   cr_assert(Serves(fleet, 4, 100));
 }
+
+// Found by a hunt: a daemon that could not hand its keys over, because the store was down, went on taking
+// requests until its end and cut them off.
+Test(fleet, a_leaving_upstream_gets_nothing_after_its_drain_time_even_without_a_store)
+{
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  size_t leaving = HolderOf(fleet, 100);
+  fleet.table.SetDown(true);
+  fleet.vms[leaving]->upstream->Leave();
+  fleet.RunFor(common::milliseconds(2200));
+  size_t before = fleet.record.runs.size();
+  fleet_answer answer = fleet.Ask(4, "GET", "/keyed/x", "100");
+  cr_assert_eq(answer.status, 503);
+  cr_assert_eq(fleet.record.runs.size(), before);
+}
