--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -54,7 +54,8 @@
 {
   mCall = aCall;
   mCall->mConnection = this;
-  mParser = std::make_unique<response_parser>(parse_limits{ kMaxResponseHeader, 0 }, aCall->mToHead);
+  mParser =
+    std::make_unique<response_parser>(parse_limits{ kMaxResponseHeader, 0 }, aCall->mToHead);
   mForeign = false;
   mRequestDone = false;
   std::string message = SerializeRequest(aHead);
@@ -170,8 +171,8 @@
 void client_connection::OnMessageEnd()
 {
   if (mInformational || mForeign) {
-    mParser = std::make_unique<response_parser>(parse_limits{ kMaxResponseHeader, 0 },
-                                                mCall->mToHead);
+    mParser =
+      std::make_unique<response_parser>(parse_limits{ kMaxResponseHeader, 0 }, mCall->mToHead);
     mForeign = false;
     mInformational = false;
     return;
--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -150,7 +150,8 @@
 {
   common::boot_time now = mLoop.Now();
   bool anyIdle = false;
-  for (auto& [target, state] : mTargets) {
+  for (auto& item : mTargets) {
+    target_state& state = item.second;
     std::erase_if(state.idle, [&](const boost::intrusive_ptr<client_connection>& aConnection) {
       if (aConnection->IdleUntil() > now) {
         return false;
--- a/src/connection/http/client_pool.h
+++ b/src/connection/http/client_pool.h
@@ -37,7 +37,7 @@
 public:
   virtual ~call_observer() = default;
   // Whether the response is to this call and not a late one to an earlier call.
-  virtual bool IsOwnResponse(const response_head& aHead) { return true; }
+  virtual bool IsOwnResponse(const response_head& /*aHead*/) { return true; }
   virtual void OnCallHead(response_head& aHead) = 0;
   virtual void OnCallBody(std::string_view aBytes) = 0;
   virtual void OnCallEnd() = 0;
@@ -47,8 +47,7 @@
 };
 
 // One request under way.
-class client_call
-  : public boost::intrusive_ref_counter<client_call, boost::thread_unsafe_counter>
+class client_call : public boost::intrusive_ref_counter<client_call, boost::thread_unsafe_counter>
 {
 public:
   void SendBody(std::string_view aBytes);
--- a/src/connection/http/event_loop.cpp
+++ b/src/connection/http/event_loop.cpp
@@ -58,14 +58,16 @@
   , mMainLoop(g_main_loop_new(mContext, FALSE))
   , mEpoll(epoll_create1(EPOLL_CLOEXEC))
 {
-  static GSourceFuncs functions = { &event_loop::OnPrepare, &event_loop::OnCheck,
-                                    &event_loop::OnDispatch, nullptr, nullptr, nullptr };
+  static GSourceFuncs functions = {
+    &event_loop::OnPrepare, &event_loop::OnCheck, &event_loop::OnDispatch, nullptr, nullptr, nullptr
+  };
   tCurrent = this;
   g_main_context_set_poll_func(mContext, &event_loop::Poll);
   mSource = g_source_new(&functions, sizeof(loop_source));
   reinterpret_cast<loop_source*>(mSource)->loop = this;
   g_source_add_unix_fd(mSource, mEpoll, G_IO_IN);
-  // Otherwise GLib takes the descriptor out and in again around each dispatch, which wakes the loop.
+  // Otherwise GLib takes the descriptor out and in again around each dispatch, which wakes the
+  // loop.
   g_source_set_can_recurse(mSource, TRUE);
   g_source_attach(mSource, mContext);
 }
--- a/src/connection/http/event_loop.h
+++ b/src/connection/http/event_loop.h
@@ -1,7 +1,7 @@
 // One thread's sockets and timers, run by a GLib main loop.
 //
-// All sockets share one epoll descriptor, which is a single source of the main loop, so that a turn costs
-// one wait however many sockets are open.
+// All sockets share one epoll descriptor, which is a single source of the main loop, so that a turn
+// costs one wait however many sockets are open.
 #pragma once
 
 #include "common/clock.h"
@@ -60,7 +60,8 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  // Watches for aEvents (EPOLLIN, EPOLLOUT), level-triggered. Returns the token for the calls below.
+  // Watches for aEvents (EPOLLIN, EPOLLOUT), level-triggered. Returns the token for the calls
+  // below.
   uint64_t Watch(int aFd, uint32_t aEvents, io_handler* aHandler);
   void Rewatch(int aFd, uint32_t aEvents, uint64_t aToken);
   // Call before closing the descriptor. No event is delivered afterwards, also in the current turn.
@@ -87,7 +88,8 @@
   static gboolean OnPrepare(GSource* aSource, gint* aTimeout);
   static gboolean OnCheck(GSource* aSource);
   static gboolean OnDispatch(GSource* aSource, GSourceFunc aCallback, gpointer aData);
-  // Replaces poll(): waits on the epoll descriptor alone, which also holds GLib's wake-up descriptor.
+  // Replaces poll(): waits on the epoll descriptor alone, which also holds GLib's wake-up
+  // descriptor.
   static gint Poll(GPollFD* aFds, guint aCount, gint aTimeout);
 
   gint Wait(GPollFD* aFds, guint aCount, gint aTimeout);
--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 // Responses beyond this are refused; the largest are pages of the platform's rows.
-constexpr size_t kMaxBody = 8 * 1024 * 1024;
+constexpr size_t kMaxBody = size_t(8) * 1024 * 1024;
 
 // One call; destroys itself after the callback.
 class fetch_call : private call_observer
--- a/src/connection/http/fetch.h
+++ b/src/connection/http/fetch.h
@@ -25,7 +25,8 @@
   common::boot_time deadline;
 };
 
-// Calls back exactly once, by the deadline. A connection on which the deadline has passed is closed.
+// Calls back exactly once, by the deadline. A connection on which the deadline has passed is
+// closed.
 void Fetch(event_loop& aLoop, client_pool& aPool, fetch_request aRequest, fetch_callback aCallback);
 
 } // namespace bamboograde::connection::http
--- a/src/connection/http/message.cpp
+++ b/src/connection/http/message.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> kHopHeaders = { "Connection",        "Keep-Alive",
-                                                          "Proxy-Connection",  "TE",
-                                                          "Trailer",           "Transfer-Encoding",
-                                                          "Upgrade",           "Content-Length" };
+constexpr std::array<std::string_view, 8> kHopHeaders = { "Connection",       "Keep-Alive",
+                                                          "Proxy-Connection", "TE",
+                                                          "Trailer",          "Transfer-Encoding",
+                                                          "Upgrade",          "Content-Length" };
 
 char Lower(char aChar)
 {
@@ -99,7 +99,8 @@
 
 std::string_view ReasonPhrase(int aStatus)
 {
-  auto phrase = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(unsigned(aStatus)));
+  auto phrase =
+    boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(unsigned(aStatus)));
   return { phrase.data(), phrase.size() };
 }
 
@@ -140,9 +141,9 @@
     }
   }
   std::erase_if(aHeaders->Items(), [&named](const header& aItem) {
-    bool hop = std::any_of(
-      kHopHeaders.begin(), kHopHeaders.end(),
-      [&aItem](std::string_view aName) { return EqualsIgnoreCase(aItem.name, aName); });
+    bool hop =
+      std::any_of(kHopHeaders.begin(), kHopHeaders.end(),
+                  [&aItem](std::string_view aName) { return EqualsIgnoreCase(aItem.name, aName); });
     return hop || (!named.empty() && HasToken(named, aItem.name));
   });
 }
--- a/src/connection/http/message_parser.cpp
+++ b/src/connection/http/message_parser.cpp
@@ -36,8 +36,8 @@
     *aUsed = 0;
     while (*aUsed < aBytes.size() && !this->is_done()) {
       beast_code code;
-      size_t used = this->put(
-        boost::asio::const_buffer(aBytes.data() + *aUsed, aBytes.size() - *aUsed), code);
+      size_t used =
+        this->put(boost::asio::const_buffer(aBytes.data() + *aUsed, aBytes.size() - *aUsed), code);
       *aUsed += used;
       if (code == beast::http::error::need_more) {
         return this->is_done() ? parse_status::kComplete : WhenIncomplete(aBytes.size() - *aUsed);
--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -96,9 +96,8 @@
 
 bool server_exchange::Congested() const
 {
-  return mConnection != nullptr &&
-         (mConnection->mStream->Pending() > tcp_stream::kHighWater ||
-          mWaiting.size() > tcp_stream::kHighWater);
+  return mConnection != nullptr && (mConnection->mStream->Pending() > tcp_stream::kHighWater ||
+                                    mWaiting.size() > tcp_stream::kHighWater);
 }
 
 void server_exchange::Emit(std::string_view aBytes)
--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr size_t kReadChunk = 32 * 1024;
+constexpr size_t kReadChunk = size_t(32) * 1024;
 constexpr int kBacklog = 1024;
 // Unacknowledged output for this long ends a connection: the peer's machine is gone or cut off.
 constexpr int kUserTimeoutMs = 3000;
@@ -286,7 +286,8 @@
   auto address = ParseEndpoint(aEndpoint);
   if (!address.has_value()) {
     return common::error{ common::error_code::kInvalidInput,
-                          "\"" + aEndpoint.Str() + "\" is not IP:PORT; correct the listen address" };
+                          "\"" + aEndpoint.Str() +
+                            "\" is not IP:PORT; correct the listen address" };
   }
   mFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   SetOption(mFd, SOL_SOCKET, SO_REUSEADDR, 1);
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -42,7 +42,7 @@
 {
 public:
   // Bytes of output at which a sender should pause, and of input at which reading pauses.
-  static constexpr size_t kHighWater = 256 * 1024;
+  static constexpr size_t kHighWater = size_t(256) * 1024;
 
   // Begins to connect; the outcome arrives as OnConnected or OnEnd.
   static boost::intrusive_ptr<tcp_stream> Connect(event_loop& aLoop, stream_owner& aOwner,
--- a/src/process/lease/lease_holder.h
+++ b/src/process/lease/lease_holder.h
@@ -24,8 +24,8 @@
   void SetWitnesses(witness_set aWitnesses);
   // Call before the change is submitted to the platform.
   void BeginChange(witness_set aNext);
-  // Whether the next set vouches for everything that was granted until aGrantedUntil. A change that is
-  // committed earlier would let the next set give the keys away while they are still held.
+  // Whether the next set vouches for everything that was granted until aGrantedUntil. A change that
+  // is committed earlier would let the next set give the keys away while they are still held.
   bool MayCommitChange(common::boot_time aGrantedUntil) const;
   // Call once the platform has told the outcome of the change.
   void EndChange(bool aCommitted);
--- a/src/process/sidecar/decision_log.cpp
+++ b/src/process/sidecar/decision_log.cpp
@@ -17,9 +17,9 @@
 };
 constexpr std::array<allowance, 3> kAllowances = { { { 5, 20 }, { 50, 200 }, { 100, 400 } } };
 // Output that may wait for a reader.
-constexpr size_t kMaxQueue = 256 * 1024;
+constexpr size_t kMaxQueue = size_t(256) * 1024;
 // Queued output at which it is written without waiting for the next flush.
-constexpr size_t kWriteSize = 8 * 1024;
+constexpr size_t kWriteSize = size_t(8) * 1024;
 
 } // namespace
 
@@ -38,8 +38,7 @@
     aBucket->tokens = allowed.burst;
   }
   std::chrono::duration<double> passed = aNow - aBucket->filledAt;
-  aBucket->tokens =
-    std::min(allowed.burst, aBucket->tokens + passed.count() * allowed.perSecond);
+  aBucket->tokens = std::min(allowed.burst, aBucket->tokens + passed.count() * allowed.perSecond);
   aBucket->filledAt = aNow;
   if (aBucket->tokens < 1) {
     ++aBucket->leftOut;
--- a/src/process/sidecar/decision_log.h
+++ b/src/process/sidecar/decision_log.h
@@ -1,7 +1,8 @@
-// Structured log lines on standard output: one JSON object a line, bounded in volume, never blocking.
+// Structured log lines on standard output: one JSON object a line, bounded in volume, never
+// blocking.
 //
-// A kind of line that comes too often is left out and counted; the count is written once a second. Output
-// that nobody reads is dropped and counted as well.
+// A kind of line that comes too often is left out and counted; the count is written once a second.
+// Output that nobody reads is dropped and counted as well.
 #pragma once
 
 #include "common/clock.h"
--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -17,7 +17,7 @@
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstServerError = 500;
 // Answers up to this size are held until they are whole.
-constexpr size_t kHoldBytes = 64 * 1024;
+constexpr size_t kHoldBytes = size_t(64) * 1024;
 // Placements of one request that may end with "not sent" before it is rejected.
 constexpr unsigned kMaxRefusals = 3;
 // Waiting for the owner of a key uses at most this share of a request's time.
@@ -112,8 +112,8 @@
     }
     pick -= part.weight;
   }
-  common::milliseconds patience = caller.patience.value_or(
-    route->timeout.count() > 0 ? route->timeout : kDefaultPatience);
+  common::milliseconds patience =
+    caller.patience.value_or(route->timeout.count() > 0 ? route->timeout : kDefaultPatience);
   if (route->timeout.count() > 0) {
     patience = std::min(patience, route->timeout);
   }
@@ -168,7 +168,8 @@
   const version::key_owner* owner = aMap == nullptr ? nullptr : aMap->Find(*mFacts.key);
   const version::member* target =
     owner == nullptr ? nullptr : mContext.process.fleet.Members().Find(owner->vm);
-  bool usable = target != nullptr && !mContext.placement.IsAvoided(target->vm, mContext.process.Now());
+  bool usable =
+    target != nullptr && !mContext.placement.IsAvoided(target->vm, mContext.process.Now());
   bool stale = aMap != nullptr && mFacts.mapVersion == aMap->version;
   if (target != nullptr && !usable) {
     // The owner is lost; whoever takes over needs longer than a caller should be held.
@@ -401,8 +402,8 @@
 
 void entry_request::RejectLater(const char* aReason)
 {
-  auto left = std::chrono::duration_cast<common::microseconds>(mFacts.deadline -
-                                                               mContext.process.Now());
+  auto left =
+    std::chrono::duration_cast<common::microseconds>(mFacts.deadline - mContext.process.Now());
   Reject(aReason, Share(left, kMaxReturnShare));
 }
 
@@ -413,8 +414,8 @@
     Fail(kBadGateway, aReason);
     return;
   }
-  auto left = std::chrono::duration_cast<common::microseconds>(mFacts.deadline -
-                                                               mContext.process.Now());
+  auto left =
+    std::chrono::duration_cast<common::microseconds>(mFacts.deadline - mContext.process.Now());
   common::microseconds pause = std::min(aRetryAfter, Share(left, kMaxReturnShare));
   connection::http::response_head head;
   if (pause.count() > 0) {
@@ -429,7 +430,8 @@
 
 void entry_request::Fail(int aStatus, const std::string& aReason)
 {
-  mContext.process.counters.Add(fmt::format("bamboograde_failures_total{{status=\"{}\"}}", aStatus));
+  mContext.process.counters.Add(
+    fmt::format("bamboograde_failures_total{{status=\"{}\"}}", aStatus));
   mContext.process.log.Write(line_class::kTrouble, "failed",
                              [&] { return Describe("failed", aReason); });
   Respond(aStatus, {});
--- a/src/process/sidecar/fleet_state.cpp
+++ b/src/process/sidecar/fleet_state.cpp
@@ -57,8 +57,8 @@
 size_t fleet_state::LiveMembers() const
 {
   const auto& all = mMembers.All();
-  auto live = std::count_if(all.begin(), all.end(),
-                            [](const auto& aItem) { return !aItem.second.stopping; });
+  auto live =
+    std::count_if(all.begin(), all.end(), [](const auto& aItem) { return !aItem.second.stopping; });
   return size_t(std::max<int64_t>(live, 1));
 }
 
--- a/src/process/sidecar/fleet_state.h
+++ b/src/process/sidecar/fleet_state.h
@@ -1,4 +1,5 @@
-// What the daemon knows of the fleet: members, configuration and key maps, each in its newest version.
+// What the daemon knows of the fleet: members, configuration and key maps, each in its newest
+// version.
 #pragma once
 
 #include "version/config_decoder.h"
--- a/src/process/sidecar/forwarded_request.cpp
+++ b/src/process/sidecar/forwarded_request.cpp
@@ -25,8 +25,7 @@
 void forwarded_request::Handle(runtime& aRuntime, upstream_gate& aGate,
                                const connection::http::server_exchange_ptr& aExchange)
 {
-  boost::intrusive_ptr<forwarded_request> self(
-    new forwarded_request(aRuntime, aGate, aExchange));
+  boost::intrusive_ptr<forwarded_request> self(new forwarded_request(aRuntime, aGate, aExchange));
   self->mSelf = self;
   ++aRuntime.inFlight;
   aExchange->SetObserver(self.get());
@@ -42,13 +41,13 @@
   const std::string* text = head.headers.Find(kFactsHeader);
   auto value = common::ParseJson(text == nullptr ? "" : *text);
   if (!value.has_value()) {
-    mRuntime.log.Write(line_class::kTrouble, "forward_without_facts",
-                       [&] { return common::json{ { "target", head.target } }; });
+    mRuntime.log.Write(line_class::kTrouble, "forward_without_facts", [&] {
+      return common::json{ { "target", head.target } };
+    });
     RespondWith(kBadRequest, kFailureHeader, "request facts are missing");
     return;
   }
-  request::request_facts facts =
-    request::DecodeFacts(value.assume_value(), mRuntime.Now());
+  request::request_facts facts = request::DecodeFacts(value.assume_value(), mRuntime.Now());
   connection::http::RemoveHopHeaders(&head.headers);
   head.headers.Remove(kFactsHeader);
   mAttempt = new local_attempt(mRuntime, mGate, std::move(head), std::move(facts), this);
--- a/src/process/sidecar/gossip.h
+++ b/src/process/sidecar/gossip.h
@@ -1,8 +1,9 @@
 // Spreads members, configuration, key maps and crash suspects between daemons.
 //
-// Each daemon tells a random other one, a few times a second, which versions it knows; the answer holds
-// what is newer there. A daemon that hears of something newer asks for it at once. A daemon that is cut off
-// from the platform follows its peers in this way. Messages per second do not grow with the fleet.
+// Each daemon tells a random other one, a few times a second, which versions it knows; the answer
+// holds what is newer there. A daemon that hears of something newer asks for it at once. A daemon
+// that is cut off from the platform follows its peers in this way. Messages per second do not grow
+// with the fleet.
 #pragma once
 
 #include "process/sidecar/peer_messenger.h"
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -60,8 +60,8 @@
   , mPlacement(aPlacement)
   , mBoot(std::move(aBoot))
   , mTerms(LeaseTermsFor(aRuntime.settings.announcePeriod))
-  , mHoldTime(std::min(HoldTimeFor(aRuntime.settings.announcePeriod),
-                       aRuntime.settings.bounds.maxHold))
+  , mHoldTime(
+      std::min(HoldTimeFor(aRuntime.settings.announcePeriod), aRuntime.settings.bounds.maxHold))
   , mLease(mTerms)
   , mKeysTimer(aRuntime.loop, [this] { mGate.SetKeys(Granted(), mGrantEnd); })
 {
@@ -131,8 +131,7 @@
   common::boot_time now = mRuntime.Now();
   auto left = std::chrono::duration_cast<common::microseconds>(mLease.LeaseEnd() - now);
   auto safe = common::microseconds(int64_t(double(left.count()) * (1 - 2 * kClockSlack)));
-  common::milliseconds hold =
-    std::min(mHoldTime, std::chrono::floor<common::milliseconds>(safe));
+  common::milliseconds hold = std::min(mHoldTime, std::chrono::floor<common::milliseconds>(safe));
   if (hold < kLeastHold) {
     mRuntime.log.Write(line_class::kState, "grant_withheld", [&] {
       return common::json{ { "lease_left_us", left.count() }, { "session", mSession.Str() } };
@@ -141,8 +140,8 @@
   }
   grant given{ Granted(), hold };
   common::boot_time end =
-    now + common::microseconds(int64_t(double(common::microseconds(hold).count()) *
-                                       (1 + kClockSlack)));
+    now +
+    common::microseconds(int64_t(double(common::microseconds(hold).count()) * (1 + kClockSlack)));
   mGrantEnd = std::max(mGrantEnd, end);
   mKeysTimer.Arm(now + kAcknowledgeTime);
   return given;
@@ -251,19 +250,17 @@
 {
   common::boot_time now = mRuntime.Now();
   for (const version::witness_ref& witness : mLease.Targets()) {
-    mMessenger.Send(witness.control, kRenewPath,
-                    { { "session", mSession.Str() }, { "witness", witness.boot.Str() } },
-                    now + kRenewTimeout,
-                    [this, witness, session = mSession,
-                     now](const common::result<common::json>& aAnswer) {
-                      OnRenewed(witness, session, now, aAnswer);
-                    });
+    mMessenger.Send(
+      witness.control, kRenewPath,
+      { { "session", mSession.Str() }, { "witness", witness.boot.Str() } }, now + kRenewTimeout,
+      [this, witness, session = mSession, now](const common::result<common::json>& aAnswer) {
+        OnRenewed(witness, session, now, aAnswer);
+      });
   }
 }
 
-void key_holder::OnRenewed(const version::witness_ref& aWitness,
-                           const common::session_id& aSession, common::boot_time aSentAt,
-                           const common::result<common::json>& aAnswer)
+void key_holder::OnRenewed(const version::witness_ref& aWitness, const common::session_id& aSession,
+                           common::boot_time aSentAt, const common::result<common::json>& aAnswer)
 {
   if (aSession != mSession || !aAnswer.has_value()) {
     return;
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -1,7 +1,8 @@
-// The keys of the upstream beside this daemon: its claim, its lease, its grants, and moves to others.
+// The keys of the upstream beside this daemon: its claim, its lease, its grants, and moves to
+// others.
 //
-// Keys are granted only while the lease surely lasts, for no longer than it lasts, so that whoever takes the
-// keys over after the lease also knows that the upstream has let go of them.
+// Keys are granted only while the lease surely lasts, for no longer than it lasts, so that whoever
+// takes the keys over after the lease also knows that the upstream has let go of them.
 #pragma once
 
 #include "process/lease/lease_holder.h"
--- a/src/process/sidecar/key_map_editor.cpp
+++ b/src/process/sidecar/key_map_editor.cpp
@@ -36,11 +36,11 @@
   change.operation = common::operation_id(common::MakeUniqueId());
   change.conditions.push_back({ name, changed->version });
   change.writes.push_back({ name, version::EncodeKeyMap(*changed) });
-  mStore.Commit(change, mRuntime.Now() + kCommitTimeout,
-                [this, changed, callback = std::move(aCallback)](
-                  const connection::commit_result& aResult) {
-                  OnCommitted(changed, aResult, callback);
-                });
+  mStore.Commit(
+    change, mRuntime.Now() + kCommitTimeout,
+    [this, changed, callback = std::move(aCallback)](const connection::commit_result& aResult) {
+      OnCommitted(changed, aResult, callback);
+    });
   return true;
 }
 
--- a/src/process/sidecar/key_map_editor.h
+++ b/src/process/sidecar/key_map_editor.h
@@ -30,7 +30,8 @@
     , mStore(aStore)
   {
   }
-  // Applies the edit to the newest known map and commits it. False when another change is under way.
+  // Applies the edit to the newest known map and commits it. False when another change is under
+  // way.
   bool Edit(const common::service_name& aService, const edit& aEdit, edit_callback aCallback);
   bool Busy() const { return mBusy; }
   // No call failed lately, so that a change is likely to get an answer.
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -49,16 +49,16 @@
 {
   lease::renewal_answer answer =
     mWitness.OnRenew(common::session_id(common::GetString(aBody, "session")),
-                     common::boot_id(common::GetString(aBody, "witness")),
-                     common::table_version(), common::table_version(), mRuntime.Now());
+                     common::boot_id(common::GetString(aBody, "witness")), common::table_version(),
+                     common::table_version(), mRuntime.Now());
   return { { "outcome", NameOf(answer) } };
 }
 
 common::json key_takeover::OnRevoke(const common::json& aBody)
 {
-  lease::revocation_answer answer = mWitness.OnRevoke(
-    common::session_id(common::GetString(aBody, "session")),
-    common::boot_id(common::GetString(aBody, "witness")), mRuntime.Now());
+  lease::revocation_answer answer =
+    mWitness.OnRevoke(common::session_id(common::GetString(aBody, "session")),
+                      common::boot_id(common::GetString(aBody, "witness")), mRuntime.Now());
   return { { "promised", answer == lease::revocation_answer::kPromised } };
 }
 
@@ -85,12 +85,11 @@
   if (now < session.firstSeen + mTerms.WitnessTerm() || now < session.nextTry) {
     return;
   }
-  bool lapsedHere =
-    std::any_of(aOwner.witnesses.begin(), aOwner.witnesses.end(),
-                [&](const version::witness_ref& aWitness) {
-                  return aWitness.control == mRuntime.settings.listen.control &&
-                         mWitness.MayPromise(aOwner.session, aWitness.boot, now);
-                });
+  bool lapsedHere = std::any_of(aOwner.witnesses.begin(), aOwner.witnesses.end(),
+                                [&](const version::witness_ref& aWitness) {
+                                  return aWitness.control == mRuntime.settings.listen.control &&
+                                         mWitness.MayPromise(aOwner.session, aWitness.boot, now);
+                                });
   if (!lapsedHere || (!aOwner.ranges.empty() && Heirs(aMap, aOwner.vm).empty())) {
     return;
   }
@@ -102,8 +101,8 @@
   // No promise is asked for while the platform could not take the change.
   mStore.Read(kKeyRowPrefix + aMap.service.Str(), now + kReadTimeout,
               [this, started](const common::result<connection::platform_row>& aRow) {
-                auto map = aRow.has_value() ? version::DecodeKeyMap(aRow.assume_value().value)
-                                            : nullptr;
+                auto map =
+                  aRow.has_value() ? version::DecodeKeyMap(aRow.assume_value().value) : nullptr;
                 if (map == nullptr) {
                   return;
                 }
@@ -128,16 +127,14 @@
       }
       continue;
     }
-    mMessenger.Send(witness.control, kRevokePath,
-                    { { "session", aAttempt->owner.session.Str() },
-                      { "witness", witness.boot.Str() } },
-                    now + kRevokeTimeout,
-                    [this, aAttempt, witness](const common::result<common::json>& aAnswer) {
-                      if (aAnswer.has_value() &&
-                          common::GetBool(aAnswer.assume_value(), "promised")) {
-                        OnPromise(aAttempt, witness);
-                      }
-                    });
+    mMessenger.Send(
+      witness.control, kRevokePath,
+      { { "session", aAttempt->owner.session.Str() }, { "witness", witness.boot.Str() } },
+      now + kRevokeTimeout, [this, aAttempt, witness](const common::result<common::json>& aAnswer) {
+        if (aAnswer.has_value() && common::GetBool(aAnswer.assume_value(), "promised")) {
+          OnPromise(aAttempt, witness);
+        }
+      });
   }
 }
 
--- a/src/process/sidecar/key_takeover.h
+++ b/src/process/sidecar/key_takeover.h
@@ -1,7 +1,8 @@
 // The witness's side of leases, and the takeover of keys whose owner is lost.
 //
-// A witness at which an owner's lease has lapsed collects the promises of a majority of that owner's
-// witnesses never to renew it again, and then gives its keys to others in one conditional write.
+// A witness at which an owner's lease has lapsed collects the promises of a majority of that
+// owner's witnesses never to renew it again, and then gives its keys to others in one conditional
+// write.
 #pragma once
 
 #include "process/lease/lease_witness.h"
@@ -34,8 +35,7 @@
     common::boot_time nextTry;
   };
   // One try to take a claim's keys over; shared by the callbacks that carry it on.
-  struct attempt
-    : public boost::intrusive_ref_counter<attempt, boost::thread_unsafe_counter>
+  struct attempt : public boost::intrusive_ref_counter<attempt, boost::thread_unsafe_counter>
   {
     common::service_name service;
     version::key_owner owner;
--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// The upstream stops by itself at the deadline that it was told; one that has not answered this much
-// later has lost the request.
+// The upstream stops by itself at the deadline that it was told; one that has not answered this
+// much later has lost the request.
 constexpr common::milliseconds kOverdueSlack{ 150 };
 constexpr int kFirstServerError = 500;
 
@@ -136,8 +136,8 @@
     case request::upstream_answer::kRan:
       break;
   }
-  mOutcome = aHead.status >= kFirstServerError ? upstream_outcome::kFailed
-                                               : upstream_outcome::kServed;
+  mOutcome =
+    aHead.status >= kFirstServerError ? upstream_outcome::kFailed : upstream_outcome::kServed;
   if (mObserver != nullptr) {
     mObserver->OnAttemptHead(aHead);
   }
--- a/src/process/sidecar/peer_watch.cpp
+++ b/src/process/sidecar/peer_watch.cpp
@@ -38,8 +38,9 @@
   if (peer.silent) {
     peer.silent = false;
     mPlacement.OnSuccess(aVm);
-    mRuntime.log.Write(line_class::kState, "peer_heard",
-                       [&] { return common::json{ { "peer", aVm } }; });
+    mRuntime.log.Write(line_class::kState, "peer_heard", [&] {
+      return common::json{ { "peer", aVm } };
+    });
   }
 }
 
--- a/src/process/sidecar/peer_watch.h
+++ b/src/process/sidecar/peer_watch.h
@@ -1,8 +1,8 @@
 // Notices daemons that have fallen silent while they owe answers: frozen, cut off or without power.
 //
-// A daemon that owes an answer and has sent nothing for a while is asked for a sign of life on its control
-// address. Without one it is avoided, and requests that may run again are sent elsewhere; it is asked again
-// until it answers.
+// A daemon that owes an answer and has sent nothing for a while is asked for a sign of life on its
+// control address. Without one it is avoided, and requests that may run again are sent elsewhere;
+// it is asked again until it answers.
 #pragma once
 
 #include "process/sidecar/peer_messenger.h"
--- a/src/process/sidecar/remote_attempt.cpp
+++ b/src/process/sidecar/remote_attempt.cpp
@@ -13,8 +13,8 @@
 
 remote_attempt::remote_attempt(runtime& aRuntime, request::placement& aPlacement,
                                peer_watch& aWatch, const version::member& aTarget,
-                               connection::http::request_head aHead,
-                               request::request_facts aFacts, request::attempt_observer* aObserver)
+                               connection::http::request_head aHead, request::request_facts aFacts,
+                               request::attempt_observer* aObserver)
   : mRuntime(aRuntime)
   , mPlacement(aPlacement)
   , mWatch(aWatch)
@@ -53,8 +53,8 @@
   }
   if (const std::string* refusal = aHead.headers.Find(kRefusalHeader); refusal != nullptr) {
     auto value = common::ParseJson(*refusal);
-    mRefusal = value.has_value() ? request::DecodeRefusal(value.assume_value())
-                                 : request::attempt_refusal();
+    mRefusal =
+      value.has_value() ? request::DecodeRefusal(value.assume_value()) : request::attempt_refusal();
     return;
   }
   if (const std::string* failure = aHead.headers.Find(kFailureHeader); failure != nullptr) {
@@ -114,8 +114,8 @@
 {
   request::attempt_ptr self(this);
   // What must not run twice goes on waiting for its answer.
-  bool abandons = mFacts.idempotent && !mAnswered && mObserver != nullptr &&
-                  mObserver->OnAttemptSilent();
+  bool abandons =
+    mFacts.idempotent && !mAnswered && mObserver != nullptr && mObserver->OnAttemptSilent();
   if (!abandons) {
     return;
   }
--- a/src/process/sidecar/request_body.h
+++ b/src/process/sidecar/request_body.h
@@ -10,7 +10,7 @@
 {
 public:
   // Bodies up to this size are kept whole, so that the request can be sent again.
-  static constexpr size_t kKeepBytes = 64 * 1024;
+  static constexpr size_t kKeepBytes = size_t(64) * 1024;
 
   explicit request_body(connection::http::server_exchange_ptr aExchange)
     : mExchange(std::move(aExchange))
--- a/src/process/sidecar/response_relay.h
+++ b/src/process/sidecar/response_relay.h
@@ -1,7 +1,7 @@
 // Passes the answer of an attempt on to the caller.
 //
-// Small answers are held until they are whole, so that one which breaks off can still be replaced by
-// another attempt's; longer ones are passed on as they arrive, no faster than the caller reads.
+// Small answers are held until they are whole, so that one which breaks off can still be replaced
+// by another attempt's; longer ones are passed on as they arrive, no faster than the caller reads.
 #pragma once
 
 #include "connection/http/server_connection.h"
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -119,8 +119,7 @@
     } else if (path == kRevokePath) {
       answer = mSidecar.mTakeover.OnRevoke(body.assume_value());
     }
-    Answer(aExchange, answer.is_null() ? kNotFound : kOk, "application/json",
-           common::Dump(answer));
+    Answer(aExchange, answer.is_null() ? kNotFound : kOk, "application/json", common::Dump(answer));
   }
 
   sidecar& mSidecar;
@@ -203,7 +202,8 @@
   , mRandom(common::EntropySeed())
   , mFleet(aDecoder)
   , mLog(aSettings.vm, mClock)
-  , mRuntime{ mSettings, aLoop, mClock, mRandom, aPool, aPorts.headers, mFleet, mLog, mCounters, mInFlight }
+  , mRuntime{ mSettings,      aLoop,  mClock, mRandom,   aPool,
+              aPorts.headers, mFleet, mLog,   mCounters, mInFlight }
   , mPlacement(mRandom)
   , mGate(mRuntime, mSuspects)
   , mMessenger(mRuntime)
@@ -275,8 +275,8 @@
                                   { &mRegistry, mSettings.listen.announcements } };
   for (const listener_plan& plan : plans) {
     auto* handler = plan.handler;
-    mListeners.push_back(std::make_unique<connection::http::tcp_listener>(
-      mLoop, [this, handler](int aFd) {
+    mListeners.push_back(
+      std::make_unique<connection::http::tcp_listener>(mLoop, [this, handler](int aFd) {
         connection::http::server_connection::Serve(mLoop, *handler, aFd);
       }));
     auto listening = mListeners.back()->Listen(plan.address);
@@ -297,8 +297,7 @@
   mCounters.AddGauge("bamboograde_config_version", [this] {
     return mFleet.Config() == nullptr ? 0 : double(mFleet.Config()->Version().Value());
   });
-  mCounters.AddGauge("bamboograde_connects",
-                     [this] { return double(mRuntime.pool.Connects()); });
+  mCounters.AddGauge("bamboograde_connects", [this] { return double(mRuntime.pool.Connects()); });
 }
 
 void sidecar::Tick()
@@ -435,8 +434,9 @@
   }
   bool quiet = now >= mQuietSince + kFlushPeriod;
   if ((noticed && quiet) || now >= mStopAt) {
-    mLog.Write(line_class::kState, "stopped",
-               [this] { return common::json{ { "in_flight", mInFlight } }; });
+    mLog.Write(line_class::kState, "stopped", [this] {
+      return common::json{ { "in_flight", mInFlight } };
+    });
     mLog.Flush();
     mLoop.Quit();
   }
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -1,4 +1,5 @@
-// The sidecar daemon: entry for callers on its VM, gate of the upstream beside it, and one of the fleet.
+// The sidecar daemon: entry for callers on its VM, gate of the upstream beside it, and one of the
+// fleet.
 #pragma once
 
 #include "process/sidecar/entry_request.h"
@@ -24,8 +25,7 @@
   connection::row_feed& configuration;
 };
 
-class sidecar
-  : private fleet_observer
+class sidecar : private fleet_observer
 {
 public:
   sidecar(const sidecar_settings& aSettings, connection::http::event_loop& aLoop,
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -232,9 +232,7 @@
     key_answer answer = LookUp(*item.facts.key);
     if (answer == key_answer::kHere) {
       Admit(item.facts, item.client);
-    } else if (answer == key_answer::kElsewhere) {
-      TurnAway(item.client, request::refusal_reason::kNotOwner);
-    } else if (now >= item.until) {
+    } else if (answer == key_answer::kElsewhere || now >= item.until) {
       TurnAway(item.client, request::refusal_reason::kNotOwner);
     } else {
       mParked.push_back(item);
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -1,6 +1,7 @@
 // The gate of the upstream beside this daemon: the only way to it.
 //
-// Knows exactly what the upstream is running, which keys it holds and until when, and whether it leaves.
+// Knows exactly what the upstream is running, which keys it holds and until when, and whether it
+// leaves.
 #pragma once
 
 #include "process/sidecar/runtime.h"
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -9,7 +9,7 @@
 constexpr int kNotFound = 404;
 // An upstream that has been silent for this many of its periods, and a bit, is taken as gone.
 constexpr int kSilentPeriods = 3;
-constexpr size_t kMaxAnnouncement = 256 * 1024;
+constexpr size_t kMaxAnnouncement = size_t(256) * 1024;
 
 void Answer(const connection::http::server_exchange_ptr& aExchange, int aStatus,
             const std::string& aBody)
@@ -37,8 +37,8 @@
   }
 
 private:
-  body_waiter(connection::http::event_loop& aLoop,
-              connection::http::server_exchange_ptr aExchange, body_callback aCallback)
+  body_waiter(connection::http::event_loop& aLoop, connection::http::server_exchange_ptr aExchange,
+              body_callback aCallback)
     : mLoop(aLoop)
     , mExchange(std::move(aExchange))
     , mCallback(std::move(aCallback))
@@ -125,13 +125,13 @@
                                        const connection::http::server_exchange_ptr& aExchange)
 {
   auto decoded = mCodec.DecodeAnnouncement(aId, aExchange->TakeBody());
-  bool foreign = decoded.has_value() &&
-                 decoded.assume_value().address != mRuntime.settings.upstream;
+  bool foreign =
+    decoded.has_value() && decoded.assume_value().address != mRuntime.settings.upstream;
   if (!decoded.has_value() || foreign) {
     mRuntime.log.Write(line_class::kTrouble, "announcement_ignored", [&] {
       return common::json{ { "upstream", aId.Str() },
-                           { "reason", foreign ? "another address"
-                                               : decoded.assume_error().message } };
+                           { "reason",
+                             foreign ? "another address" : decoded.assume_error().message } };
     });
     Answer(aExchange, kBadRequest, "{}");
     return;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -91,8 +91,7 @@
   return busy / mSlots;
 }
 
-common::microseconds admission::ExpectedWait(const urgency& aUrgency,
-                                             common::boot_time aNow) const
+common::microseconds admission::ExpectedWait(const urgency& aUrgency, common::boot_time aNow) const
 {
   if (mSlots == 0) {
     return common::microseconds::max();
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -1,15 +1,16 @@
 // Decides which requests an upstream runs, which wait, and which are rejected.
 //
-// The gate beside an upstream sends it at most as many requests as it has slots, so that the upstream's
-// own queue stays empty and everything that waits does so here: by rank, within a rank much shorter
-// requests first, which are mostly calls that other upstreams need for their own work, and then in order
-// of arrival.
-// Whether a request may wait is decided once, on arrival, so that what is accepted is served and what is
-// rejected knows at once: one that will make its target latency may wait; one that can only be late may
-// wait only while little is in front of it, because under overload it would take the place of one that
-// can still be on time. Where there is less urgent work to take the place of, the deadline decides.
+// The gate beside an upstream sends it at most as many requests as it has slots, so that the
+// upstream's own queue stays empty and everything that waits does so here: by rank, within a rank
+// much shorter requests first, which are mostly calls that other upstreams need for their own work,
+// and then in order of arrival. Whether a request may wait is decided once, on arrival, so that
+// what is accepted is served and what is rejected knows at once: one that will make its target
+// latency may wait; one that can only be late may wait only while little is in front of it, because
+// under overload it would take the place of one that can still be on time. Where there is less
+// urgent work to take the place of, the deadline decides.
 //
-// Load pattern: arrivals beyond the upstream's capacity for seconds (bursts, a hot key, a slow upstream).
+// Load pattern: arrivals beyond the upstream's capacity for seconds (bursts, a hot key, a slow
+// upstream).
 #pragma once
 
 #include "common/clock.h"
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -77,8 +77,8 @@
   virtual void OnAttemptFailed(const attempt_failure& aFailure) = 0;
   // More of the request's body may be sent.
   virtual void OnAttemptWritable() {}
-  // The daemon that was asked shows no sign of life. True: the request is sent elsewhere, and the attempt
-  // should end as failed; false: it goes on waiting.
+  // The daemon that was asked shows no sign of life. True: the request is sent elsewhere, and the
+  // attempt should end as failed; false: it goes on waiting.
   virtual bool OnAttemptSilent() { return false; }
 };
 
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -51,8 +51,8 @@
     if (peer.report.limit > 0) {
       limit = peer.report.limit;
       auto age = std::chrono::duration_cast<common::microseconds>(aNow - peer.reportedAt);
-      double weight = std::exp2(-double(age.count()) /
-                                double(common::microseconds(kReportHalfLife).count()));
+      double weight =
+        std::exp2(-double(age.count()) / double(common::microseconds(kReportHalfLife).count()));
       busy = weight * double(peer.report.running + peer.report.waiting);
     }
     busy = std::max(busy, double(peer.outstanding));
@@ -80,13 +80,14 @@
   }
   // Two random ones, which differ, and the nearest.
   size_t first = size_t(mRandom.Below(usable.size()));
-  size_t second = (first + 1 + size_t(mRandom.Below(std::max<size_t>(usable.size() - 1, 1)))) %
-                  usable.size();
+  size_t second =
+    (first + 1 + size_t(mRandom.Below(std::max<size_t>(usable.size() - 1, 1)))) % usable.size();
   size_t best = usable[first];
   std::vector<size_t> rivals = { usable[second] };
-  rivals.push_back(*std::min_element(usable.begin(), usable.end(), [&](size_t aLeft, size_t aRight) {
-    return aCandidates[aLeft].away < aCandidates[aRight].away;
-  }));
+  rivals.push_back(
+    *std::min_element(usable.begin(), usable.end(), [&](size_t aLeft, size_t aRight) {
+      return aCandidates[aLeft].away < aCandidates[aRight].away;
+    }));
   for (size_t rival : rivals) {
     if (ExpectedLatency(aCandidates[rival], aNow) < ExpectedLatency(aCandidates[best], aNow)) {
       best = rival;
@@ -106,8 +107,7 @@
   outstanding -= outstanding > 0 ? 1 : 0;
 }
 
-void placement::OnReport(const std::string& aVm, const load_report& aReport,
-                         common::boot_time aNow)
+void placement::OnReport(const std::string& aVm, const load_report& aReport, common::boot_time aNow)
 {
   peer_state& peer = mPeers[aVm];
   peer.report = aReport;
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -1,10 +1,11 @@
 // Chooses the upstream that answers a request of a service soonest.
 //
-// Each daemon knows what it has sent to each upstream itself, and what the gate there reported with its
-// last answer. Of two random candidates the one with the lower expected latency is taken, so that daemons
-// which choose at the same moment do not all choose the same upstream.
+// Each daemon knows what it has sent to each upstream itself, and what the gate there reported with
+// its last answer. Of two random candidates the one with the lower expected latency is taken, so
+// that daemons which choose at the same moment do not all choose the same upstream.
 //
-// Load pattern: upstreams of unequal speed, a slow third, a cold start, and all of them nearly full.
+// Load pattern: upstreams of unequal speed, a slow third, a cold start, and all of them nearly
+// full.
 #pragma once
 
 #include "common/clock.h"
--- a/src/request/shared_budget.cpp
+++ b/src/request/shared_budget.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Part of the budget that is used. A repeated request repeats the calls that its upstream makes, and
-// windows of the daemons do not begin at the same moment.
+// Part of the budget that is used. A repeated request repeats the calls that its upstream makes,
+// and windows of the daemons do not begin at the same moment.
 constexpr double kUsedPart = 0.5;
 
 } // namespace
--- a/src/request/shared_budget.h
+++ b/src/request/shared_budget.h
@@ -1,8 +1,8 @@
 // Limits how many requests of a service are sent to a second upstream.
 //
-// All daemons draw on one budget: a share of the requests for the service and a constant. Each daemon uses
-// a part of it that can not add up to more than the whole: the share of its own requests, and an equal part
-// of the constant.
+// All daemons draw on one budget: a share of the requests for the service and a constant. Each
+// daemon uses a part of it that can not add up to more than the whole: the share of its own
+// requests, and an equal part of the constant.
 #pragma once
 
 #include "common/clock.h"
--- a/src/request/suspect_list.cpp
+++ b/src/request/suspect_list.cpp
@@ -51,7 +51,8 @@
 {
   common::json list = common::json::array();
   for (const auto& [fingerprint, item] : mCrashes) {
-    list.push_back({ { "fingerprint", common::ToHex(fingerprint) }, { "crashes", item.crashes },
+    list.push_back({ { "fingerprint", common::ToHex(fingerprint) },
+                     { "crashes", item.crashes },
                      { "cleared", item.cleared } });
   }
   return list;
@@ -65,8 +66,8 @@
   for (const common::json& item : aList) {
     uint64_t fingerprint = 0;
     if (common::FromHex(common::GetString(item, "fingerprint"), &fingerprint)) {
-      Merge(fingerprint, unsigned(common::GetNumber(item, "crashes")),
-            aNow, common::GetBool(item, "cleared"));
+      Merge(fingerprint, unsigned(common::GetNumber(item, "crashes")), aNow,
+            common::GetBool(item, "cleared"));
     }
   }
 }
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -1,8 +1,8 @@
 // One immutable version of who owns which keys of a service.
 //
-// Keys are positions from 0 to 65535 whose order is kept, so that busy neighbours can be split apart down
-// to a single key. The platform keeps one row per service with the whole map; every change is one
-// conditional write of it.
+// Keys are positions from 0 to 65535 whose order is kept, so that busy neighbours can be split
+// apart down to a single key. The platform keeps one row per service with the whole map; every
+// change is one conditional write of it.
 #pragma once
 
 #include "common/json.h"
@@ -42,8 +42,8 @@
 struct key_owner
 {
   std::string vm;
-  // One claim to the keys; the owner's lease is for it. A new one is made at each start of the daemon
-  // and whenever a witness has given up the present one.
+  // One claim to the keys; the owner's lease is for it. A new one is made at each start of the
+  // daemon and whenever a witness has given up the present one.
   common::session_id session;
   upstream_id upstream;
   std::vector<witness_ref> witnesses;
--- a/src/version/route_config.h
+++ b/src/version/route_config.h
@@ -59,8 +59,7 @@
   common::milliseconds idleTimeout{ 15000 };
 };
 
-class route_config
-  : public boost::intrusive_ref_counter<route_config, boost::thread_unsafe_counter>
+class route_config : public boost::intrusive_ref_counter<route_config, boost::thread_unsafe_counter>
 {
 public:
   route_config(config_version aVersion, std::vector<route_rule> aRoutes,
--- a/tests/connection/http/message_parser_test.cpp
+++ b/tests/connection/http/message_parser_test.cpp
@@ -18,8 +18,8 @@
 
 // Feeds aText in pieces of aStep bytes, keeping what was not used, as a connection does.
 template<typename parser>
-parse_status FeedInSteps(parser& aParser, std::string_view aText, size_t aStep,
-                         message_sink& aSink, std::string* aRest)
+parse_status FeedInSteps(parser& aParser, std::string_view aText, size_t aStep, message_sink& aSink,
+                         std::string* aRest)
 {
   std::string pending;
   parse_status status = parse_status::kNeedMore;
@@ -45,7 +45,8 @@
 
 Test(message_parser, reads_a_request_however_it_is_split)
 {
-  const std::string text = "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string text =
+    "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n\r\nhello";
   for (size_t step = 1; step <= text.size(); ++step) {
     request_parser parser({});
     recording_sink sink;
@@ -60,14 +61,14 @@
 
 Test(message_parser, reads_chunks_however_they_are_split)
 {
-  const std::string text =
-    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  const std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                           "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
   for (size_t step = 1; step <= text.size(); ++step) {
     request_parser parser({});
     recording_sink sink;
     std::string rest;
-    cr_assert_eq(FeedInSteps(parser, text, step, sink, &rest), parse_status::kComplete,
-                 "step %zu", step);
+    cr_assert_eq(FeedInSteps(parser, text, step, sink, &rest), parse_status::kComplete, "step %zu",
+                 step);
     cr_assert(sink.body == "abcde");
   }
 }
@@ -104,7 +105,8 @@
 Test(message_parser, refuses_what_is_over_its_limits)
 {
   parse_limits limits{ 128, 4 };
-  std::string longHeader = "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(500, 'x') + "\r\n\r\n";
+  std::string longHeader =
+    "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(500, 'x') + "\r\n\r\n";
   cr_assert_eq(ParseRequest(longHeader, limits), parse_status::kHeaderTooLarge);
   cr_assert_eq(ParseRequest("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello", limits),
                parse_status::kBodyTooLarge);
@@ -130,7 +132,8 @@
 
 Test(message_parser, a_response_that_is_cut_off_is_not_complete)
 {
-  const char* cut[] = { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nContent-Le",
+  const char* cut[] = { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+                        "HTTP/1.1 200 OK\r\nContent-Le",
                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n" };
   for (const char* text : cut) {
     response_parser parser({}, false);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -37,9 +37,9 @@
   header_list headers;
   headers.Add("X-Bamboograde-Caller-Service", "forged");
   headers.Add("X-Bamboograde-Deadline-Ms", "1200");
-  names.WriteUpstream({ common::milliseconds(700), version::upstream_id("i-1"),
-                        common::service_name("own") },
-                      &headers);
+  names.WriteUpstream(
+    { common::milliseconds(700), version::upstream_id("i-1"), common::service_name("own") },
+    &headers);
   cr_assert(*headers.Find("X-Bamboograde-Caller-Service") == "own");
   cr_assert_eq(headers.Count("X-Bamboograde-Caller-Service"), 1U);
   cr_assert(*headers.Find("X-Bamboograde-Deadline-Ms") == "700");
@@ -89,16 +89,17 @@
 Test(upstream_messages, refuses_announcements_of_other_writers)
 {
   platform::upstream_messages messages;
-  for (const char* text :
-       { "", "not json", "[]", "{}", R"({"address":"a:1"})",
-         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"asleep","callSeq":4}})",
-         R"({"address":7,"info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4}})",
-         R"({"address":"a:1","info":{"service":"s","slots":"6"},"status":{"state":"ready","callSeq":4}})",
-         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":"4"}})",
-         R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4},
+  for (
+    const char* text :
+    { "", "not json", "[]", "{}", R"({"address":"a:1"})",
+      R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"asleep","callSeq":4}})",
+      R"({"address":7,"info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4}})",
+      R"({"address":"a:1","info":{"service":"s","slots":"6"},"status":{"state":"ready","callSeq":4}})",
+      R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":"4"}})",
+      R"({"address":"a:1","info":{"service":"s","slots":6},"status":{"state":"ready","callSeq":4},
              "holds":[[9,3,1]]})" }) {
-    cr_assert_not(
-      messages.DecodeAnnouncement(version::upstream_id("i-1"), text).has_value(), "%s", text);
+    cr_assert_not(messages.DecodeAnnouncement(version::upstream_id("i-1"), text).has_value(), "%s",
+                  text);
   }
 }
 
@@ -153,8 +154,9 @@
 Test(config_document, refuses_what_is_incomplete)
 {
   platform::config_document document;
-  for (const char* text : { "{}", R"({"version":"7"})", R"({"version":1,"routes":{"r":{"host":"h"}}})",
-                            R"({"version":1,"routes":{"r":{"host":"h","prefix":"/"}}})" }) {
+  for (const char* text :
+       { "{}", R"({"version":"7"})", R"({"version":1,"routes":{"r":{"host":"h"}}})",
+         R"({"version":1,"routes":{"r":{"host":"h","prefix":"/"}}})" }) {
     cr_assert_not(document.Decode(common::json::parse(text)).has_value(), "%s", text);
   }
 }
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -21,8 +21,8 @@
 common::json Route(const std::string& aPrefix, const std::string& aKind,
                    const std::string& aService)
 {
-  return { { "host", "h.example" }, { "prefix", aPrefix },       { "kind", aKind },
-           { "service", aService }, { "timeoutMs", 2000 },       { "targetLatencyMs", 500 },
+  return { { "host", "h.example" }, { "prefix", aPrefix }, { "kind", aKind },
+           { "service", aService }, { "timeoutMs", 2000 }, { "targetLatencyMs", 500 },
            { "priority", 1 },       { "maxAttempts", 2 } };
 }
 
@@ -30,10 +30,7 @@
 class asker : public connection::http::call_observer
 {
 public:
-  void OnCallHead(connection::http::response_head& aHead) override
-  {
-    answer.status = aHead.status;
-  }
+  void OnCallHead(connection::http::response_head& aHead) override { answer.status = aHead.status; }
   void OnCallBody(std::string_view aBytes) override { answer.body.append(aBytes); }
   void OnCallEnd() override { done = true; }
   void OnCallFailed(const connection::http::call_error&) override
@@ -145,12 +142,13 @@
   if (!aExtraRoutePrefix.empty()) {
     routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain");
   }
-  table.Put("op", "config",
-            { { "version", aVersion },
-              { "routes", routes },
-              { "services",
-                { { kKeyedService, { { "sharded", true } } }, { "plain", common::json::object() } } },
-              { "limits", { { "idleTimeoutMs", 5000 } } } });
+  table.Put(
+    "op", "config",
+    { { "version", aVersion },
+      { "routes", routes },
+      { "services",
+        { { kKeyedService, { { "sharded", true } } }, { "plain", common::json::object() } } },
+      { "limits", { { "idleTimeoutMs", 5000 } } } });
 }
 
 void fleet_fixture::RunFor(common::milliseconds aTime)
@@ -186,8 +184,8 @@
     head.body = { connection::http::body_framing::kLength, aBody.size() };
   }
   asker observer;
-  auto call = mClients.Send(vms[aVm]->Callers(), head, aBody, true, loop.Now() + kPatience,
-                            &observer);
+  auto call =
+    mClients.Send(vms[aVm]->Callers(), head, aBody, true, loop.Now() + kPatience, &observer);
   RunUntil([&observer] { return observer.done; }, 2 * kPatience, "an answer");
   return observer.answer;
 }
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -1,5 +1,5 @@
-// Daemons as processes of their own, and their upstreams and the platform's table service as stand-ins in
-// this process, all on loopback.
+// Daemons as processes of their own, and their upstreams and the platform's table service as
+// stand-ins in this process, all on loopback.
 #pragma once
 
 #include "standins/fleet/table_standin.h"
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -143,8 +143,8 @@
   for (auto& vm : fleet.vms) {
     vm->StartDaemon();
   }
-  fleet.RunUntil([&fleet] { return Serves(fleet, 3, 7) && Serves(fleet, 3, 50000); },
-                 kTakeoverTime, "keys after the restart");
+  fleet.RunUntil([&fleet] { return Serves(fleet, 3, 7) && Serves(fleet, 3, 50000); }, kTakeoverTime,
+                 "keys after the restart");
 }
 
 Test(fleet, a_leaving_upstream_hands_its_keys_over)
@@ -185,8 +185,8 @@
   cr_assert(Serves(fleet, 4, 100));
 }
 
-// Found by a hunt: a daemon that could not hand its keys over, because the store was down, went on taking
-// requests until its end and cut them off.
+// Found by a hunt: a daemon that could not hand its keys over, because the store was down, went on
+// taking requests until its end and cut them off.
 Test(fleet, a_leaving_upstream_gets_nothing_after_its_drain_time_even_without_a_store)
 {
   fleet_fixture fleet(kServices);
--- a/tests/process/lease/lease_holder_test.cpp
+++ b/tests/process/lease/lease_holder_test.cpp
@@ -100,8 +100,9 @@
   cr_assert_eq(parts[0][0].epoch.Value(), 2U);
 }
 
-// Found by a hunt: a witness restarted, and the change that replaced it was committed while keys were granted
-// on the strength of its last renewal. The new set gave the keys away before the grant had ended.
+// Found by a hunt: a witness restarted, and the change that replaced it was committed while keys
+// were granted on the strength of its last renewal. The new set gave the keys away before the grant
+// had ended.
 Test(lease_holder, a_change_waits_until_the_new_set_vouches_for_what_was_granted)
 {
   lease_holder holder(lease_terms{});
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -15,9 +15,8 @@
 {
   load_pattern pattern;
   pattern.slots = 14;
-  pattern.classes = {
-    { "route-list", 2, aPerSecond, milliseconds(60), milliseconds(200), milliseconds(500) }
-  };
+  pattern.classes = { { "route-list", 2, aPerSecond, milliseconds(60), milliseconds(200),
+                        milliseconds(500) } };
   return pattern;
 }
 
@@ -76,10 +75,9 @@
 {
   load_pattern pattern;
   pattern.slots = 14;
-  pattern.classes = {
-    { "call", 0, 300, milliseconds(15), milliseconds(60), milliseconds(200) },
-    { "lookup", 2, 120, milliseconds(150), milliseconds(400), milliseconds(1000) }
-  };
+  pattern.classes = { { "call", 0, 300, milliseconds(15), milliseconds(60), milliseconds(200) },
+                      { "lookup", 2, 120, milliseconds(150), milliseconds(400),
+                        milliseconds(1000) } };
   for (uint64_t seed : kSeeds) {
     auto outcomes = Replay(pattern, true, seed);
     cr_assert_gt(outcomes["call"].Served(), 0.99, "seed %lu: %f", seed, outcomes["call"].Served());
@@ -92,10 +90,9 @@
 {
   load_pattern pattern;
   pattern.slots = 14;
-  pattern.classes = {
-    { "call", 1, 350, milliseconds(15), milliseconds(60), milliseconds(200) },
-    { "confirm", 1, 186, milliseconds(90), milliseconds(250), milliseconds(600) }
-  };
+  pattern.classes = { { "call", 1, 350, milliseconds(15), milliseconds(60), milliseconds(200) },
+                      { "confirm", 1, 186, milliseconds(90), milliseconds(250),
+                        milliseconds(600) } };
   for (uint64_t seed : kSeeds) {
     auto outcomes = Replay(pattern, true, seed);
     cr_assert_gt(outcomes["call"].Served(), 0.98, "seed %lu: %f", seed, outcomes["call"].Served());
--- a/tests/request/load_model.cpp
+++ b/tests/request/load_model.cpp
@@ -152,9 +152,9 @@
   {
     load_outcome& outcome = mOutcomes[aCaller.kind->name];
     ++outcome.brokenPromises;
-    outcome.longestRejection = std::max(
-      outcome.longestRejection,
-      std::chrono::duration_cast<microseconds>(mNow - aCaller.firstAsked));
+    outcome.longestRejection =
+      std::max(outcome.longestRejection,
+               std::chrono::duration_cast<microseconds>(mNow - aCaller.firstAsked));
   }
 
   void Count(const caller& aCaller)
--- a/tests/request/load_model.h
+++ b/tests/request/load_model.h
@@ -1,5 +1,5 @@
-// A model of one upstream under load, in simulated time: open-loop arrivals, slots, and callers who come
-// back once after a rejection.
+// A model of one upstream under load, in simulated time: open-loop arrivals, slots, and callers who
+// come back once after a rejection.
 #pragma once
 
 #include "common/random.h"
--- a/tests/standins/fleet/table_standin.cpp
+++ b/tests/standins/fleet/table_standin.cpp
@@ -61,9 +61,8 @@
   }
   const std::string& target = aExchange->Head().target;
   if (target.find("/v1/rows-tx") == 0) {
-    process::sidecar::WithBody(mLoop, aExchange, [this](const server_exchange_ptr& aWhole) {
-      OnTransaction(aWhole);
-    });
+    process::sidecar::WithBody(
+      mLoop, aExchange, [this](const server_exchange_ptr& aWhole) { OnTransaction(aWhole); });
   } else if (target.find("/v1/rows-get") == 0) {
     Answer(aExchange, 200,
            { { "rows", Rows(Query(target, "table"), 0, Query(target, "from")) },
--- a/tests/standins/fleet/table_standin.h
+++ b/tests/standins/fleet/table_standin.h
@@ -1,4 +1,5 @@
-// A stand-in for the platform's table service: rows with versions, conditional transactions and a feed.
+// A stand-in for the platform's table service: rows with versions, conditional transactions and a
+// feed.
 #pragma once
 
 #include "connection/http/server_connection.h"
@@ -12,7 +13,10 @@
 {
 public:
   explicit table_standin(connection::http::event_loop& aLoop);
-  common::result<void> Listen(const common::endpoint& aAddress) { return mListener.Listen(aAddress); }
+  common::result<void> Listen(const common::endpoint& aAddress)
+  {
+    return mListener.Listen(aAddress);
+  }
 
   // Writes as the operator does.
   void Put(const std::string& aTable, const std::string& aKey, const common::json& aValue);
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-upstream_standin::upstream_standin(connection::http::event_loop& aLoop,
-                                   upstream_standin_plan aPlan, fleet_record& aRecord)
+upstream_standin::upstream_standin(connection::http::event_loop& aLoop, upstream_standin_plan aPlan,
+                                   fleet_record& aRecord)
   : mLoop(aLoop)
   , mPlan(std::move(aPlan))
   , mRecord(aRecord)
@@ -38,9 +38,8 @@
   mLeaving = false;
   mHolds.clear();
   mReleased = common::json::array();
-  mListener = std::make_unique<connection::http::tcp_listener>(mLoop, [this](int aFd) {
-    connection::http::server_connection::Serve(mLoop, *this, aFd);
-  });
+  mListener = std::make_unique<connection::http::tcp_listener>(
+    mLoop, [this](int aFd) { connection::http::server_connection::Serve(mLoop, *this, aFd); });
   auto listening = mListener->Listen(mPlan.address);
   Announce();
   return listening;
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -1,7 +1,8 @@
-// A stand-in for an upstream: announces itself to its daemon, holds keys as it is told, and runs requests.
+// A stand-in for an upstream: announces itself to its daemon, holds keys as it is told, and runs
+// requests.
 //
-// It checks what an upstream can see of the promises: requests only within its slots, only for keys that it
-// holds, and no request of a non-idempotent route twice.
+// It checks what an upstream can see of the promises: requests only within its slots, only for keys
+// that it holds, and no request of a non-idempotent route twice.
 #pragma once
 
 #include "connection/http/fetch.h"
--- a/tests/version/key_map_test.cpp
+++ b/tests/version/key_map_test.cpp
@@ -74,11 +74,10 @@
 
 Test(key_map, refuses_what_is_not_a_map)
 {
-  for (const char* text :
-       { "{}", "[]", "7", R"({"service":"s","owners":[{}]})",
-         R"({"service":"s","owners":[{"vm":"a","ranges":[[5,4,1,""]]}]})",
-         R"({"service":"s","owners":[{"vm":"a","ranges":[[0,65536,1,""]]}]})",
-         R"({"service":"s","owners":[{"vm":"a","ranges":[[0,"x",1,""]]}]})" }) {
+  for (const char* text : { "{}", "[]", "7", R"({"service":"s","owners":[{}]})",
+                            R"({"service":"s","owners":[{"vm":"a","ranges":[[5,4,1,""]]}]})",
+                            R"({"service":"s","owners":[{"vm":"a","ranges":[[0,65536,1,""]]}]})",
+                            R"({"service":"s","owners":[{"vm":"a","ranges":[[0,"x",1,""]]}]})" }) {
     cr_assert_null(version::DecodeKeyMap(common::json::parse(text)).get(), "%s", text);
   }
 }
--- a/tests/version/route_config_test.cpp
+++ b/tests/version/route_config_test.cpp
@@ -39,10 +39,10 @@
 
 Test(route_config, the_longest_prefix_of_the_host_wins)
 {
-  version::route_config config(version::config_version(1),
-                               { Route("short", "h", "/a/"), Route("long", "h", "/a/b/"),
-                                 Route("other", "g", "/a/b/c/") },
-                               {}, {});
+  version::route_config config(
+    version::config_version(1),
+    { Route("short", "h", "/a/"), Route("long", "h", "/a/b/"), Route("other", "g", "/a/b/c/") }, {},
+    {});
   cr_assert(NameOf(config, "h", "/a/x") == "short");
   cr_assert(NameOf(config, "h", "/a/b/c/d") == "long");
   cr_assert(NameOf(config, "g", "/a/b/c/d") == "other");
