Let requests through only for keys that were acknowledged

Change: the ranges of the acknowledgement itself are kept for the gate. Test: none of its own yet, the window is 3 ms; the fleet tests count misdirected requests.

--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -63,7 +63,7 @@
   , mHoldTime(
       std::min(HoldTimeFor(aRuntime.settings.announcePeriod), aRuntime.settings.bounds.maxHold))
   , mLease(mTerms)
-  , mKeysTimer(aRuntime.loop, [this] { mGate.SetKeys(Granted(), mGrantEnd); })
+  , mKeysTimer(aRuntime.loop, [this] { mGate.SetKeys(mAcknowledged, mGrantEnd); })
 {
 }
 
@@ -143,6 +143,8 @@
     now +
     common::microseconds(int64_t(double(common::microseconds(hold).count()) * (1 + kClockSlack)));
   mGrantEnd = std::max(mGrantEnd, end);
+  // Not what is owned when the timer fires: the map may change before.
+  mAcknowledged = given.ranges;
   mKeysTimer.Arm(now + kAcknowledgeTime);
   return given;
 }
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -97,6 +97,8 @@
   common::boot_time mDecayAt;
   common::boot_time mOwnersChangedAt;
   std::vector<std::string> mKnownOwners;
+  // What the last acknowledgement has granted.
+  std::vector<version::held_range> mAcknowledged;
   connection::http::loop_timer mKeysTimer;
 };
 
