--- a/misc/test.sh
+++ b/misc/test.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/.."
 misc/install.sh
 misc/build.sh | tail -n 1
+misc/check_names.sh
 misc/lint.sh
 ctest --test-dir build --output-on-failure -j 3
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -272,8 +272,12 @@
                                   { mForwards.get(), mSettings.listen.forwards },
                                   { mControl.get(), mSettings.listen.control },
                                   { mReadiness.get(), mSettings.listen.readiness },
+                                  { mReadiness.get(), mSettings.listen.metrics },
                                   { &mRegistry, mSettings.listen.announcements } };
   for (const listener_plan& plan : plans) {
+    if (plan.address.Empty()) {
+      continue;
+    }
     auto* handler = plan.handler;
     mListeners.push_back(
       std::make_unique<connection::http::tcp_listener>(mLoop, [this, handler](int aFd) {
--- a/src/process/sidecar/sidecar_settings.cpp
+++ b/src/process/sidecar/sidecar_settings.cpp
@@ -109,6 +109,7 @@
     { "listen.forwards", { true, Address(&listen.forwards) } },
     { "listen.control", { true, Address(&listen.control) } },
     { "listen.readiness", { true, Address(&listen.readiness) } },
+    { "listen.metrics", { false, Address(&listen.metrics) } },
     { "listen.announcements", { true, Address(&listen.announcements) } },
     { "bounds.grace_s", { false, Millis(&bounds.grace, kSecond) } },
     { "bounds.drain_ms", { false, Millis(&bounds.drain, kMillisecond) } },
--- a/src/process/sidecar/sidecar_settings.h
+++ b/src/process/sidecar/sidecar_settings.h
@@ -23,6 +23,8 @@
   common::endpoint readiness;
   // The upstream's announcements.
   common::endpoint announcements;
+  // Counters for collectors. Empty: only beside the readiness.
+  common::endpoint metrics;
 };
 
 // What the daemon has to keep to, as its deployment sets it.
