--- a/tests/process/sidecar/sidecar_settings_test.cpp
+++ b/tests/process/sidecar/sidecar_settings_test.cpp
@@ -44,8 +44,9 @@
   ParseSidecarSettings("vm: 127.0.0.1\nupstream: nowhere\ncolour: red\nannounce_period_ms: -1\n",
                        "file", &findings);
   std::string text = findings.Format();
-  for (const char* expected : { "file:2: upstream: expected IP:PORT", "file:3: colour: unknown setting",
-                                "file:4: announce_period_ms", "listen.callers: missing" }) {
+  for (const char* expected :
+       { "file:2: upstream: expected IP:PORT", "file:3: colour: unknown setting",
+         "file:4: announce_period_ms", "listen.callers: missing" }) {
     cr_assert(text.find(expected) != std::string::npos, "%s\n%s", expected, text.c_str());
   }
 }
