--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -55,7 +55,7 @@
   }
 }
 
-bool client_call::MaySent() const
+bool client_call::MayBeSent() const
 {
   return mConnection == nullptr || mConnection->HasSent();
 }
@@ -140,12 +140,6 @@
   found->second.idle.clear();
 }
 
-size_t client_pool::Open(const common::endpoint& aTarget) const
-{
-  auto found = mTargets.find(aTarget);
-  return found == mTargets.end() ? 0 : found->second.open;
-}
-
 void client_pool::CloseExpired()
 {
   common::boot_time now = mLoop.Now();
--- a/src/connection/http/client_pool.h
+++ b/src/connection/http/client_pool.h
@@ -59,7 +59,7 @@
   // Closes the connection, which tells the other side to stop. No call to the observer follows.
   void Cancel();
   // Whether any byte of the request has left this process.
-  bool MaySent() const;
+  bool MayBeSent() const;
 
 private:
   friend class client_connection;
@@ -86,8 +86,6 @@
                        call_observer* aObserver);
   // Closes the idle connections to the target, because one of them has gone silent.
   void DropIdle(const common::endpoint& aTarget);
-  // Connections to the target that are open, idle or not.
-  size_t Open(const common::endpoint& aTarget) const;
   // Connections that were established since the start.
   uint64_t Connects() const { return mConnects; }
 
--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -62,7 +62,7 @@
   void OnDeadline()
   {
     mResult.status = 0;
-    mResult.error.failure = mCall->MaySent() ? call_failure::kUnknown : call_failure::kNotSent;
+    mResult.error.failure = mCall->MayBeSent() ? call_failure::kUnknown : call_failure::kNotSent;
     mResult.error.reason = "deadline passed";
     mCall->Cancel();
     // Connections that were idle all the while may have gone silent as well.
--- a/src/connection/http/message_parser.cpp
+++ b/src/connection/http/message_parser.cpp
@@ -181,16 +181,6 @@
   return mImplementation->Feed(aBytes, aSink, aUsed);
 }
 
-bool request_parser::HeadDone() const
-{
-  return mImplementation->is_header_done();
-}
-
-bool request_parser::Untouched() const
-{
-  return !mImplementation->got_some();
-}
-
 request_head& request_parser::Head()
 {
   return mImplementation->mHead;
--- a/src/connection/http/message_parser.h
+++ b/src/connection/http/message_parser.h
@@ -44,9 +44,6 @@
   ~request_parser();
   // Feeds bytes; aUsed tells how many were taken.
   parse_status Feed(std::string_view aBytes, message_sink& aSink, size_t* aUsed);
-  bool HeadDone() const;
-  // Nothing has been fed yet, apart from line ends between messages.
-  bool Untouched() const;
   request_head& Head();
 
 private:
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -216,7 +216,6 @@
       mLease = lease::lease_holder(mTerms);
       mLease.SetWitnesses(witnesses);
       mDepartures.clear();
-      mDepartureUnknown = false;
       PublishHeldBack();
       mRuntime.log.Write(line_class::kState, "joined", [&] {
         return common::json{ { "session", session.Str() }, { "upstream", mIncarnation.Str() } };
@@ -358,11 +357,12 @@
   return heirs;
 }
 
+// Gives keys that nobody owns to the owners; at first that is all of them.
 void key_holder::Divide()
 {
   version::key_map_ptr map = Map();
   bool settled = mRuntime.Now() >= mOwnersChangedAt + kSettleTime;
-  if (map->Divided() || !settled || mEditor.Busy() || mLeaving) {
+  if (!settled || mEditor.Busy() || !mEditor.Healthy() || mLeaving || map->Unowned().empty()) {
     return;
   }
   std::vector<version::heir> heirs = Heirs();
@@ -376,12 +376,12 @@
   mEditor.Edit(
     mGate.Service(),
     [heirs](version::key_map& aMap) {
-      if (aMap.Divided()) {
+      std::vector<version::key_range> unowned = aMap.Unowned();
+      if (unowned.empty()) {
         return false;
       }
       aMap.lastFence = aMap.lastFence.Next();
-      for (const auto& part :
-           version::SpreadKeys({ { 0, version::kKeyPositions - 1 } }, heirs, nullptr)) {
+      for (const auto& part : version::SpreadKeys(unowned, heirs, nullptr)) {
         if (version::key_owner* owner = aMap.Owner(part.vm); owner != nullptr) {
           version::GiveRange(owner, { part.range, aMap.lastFence, "" });
         }
@@ -551,7 +551,7 @@
       return true;
     },
     [this](edit_outcome aOutcome) {
-      mDepartureUnknown = aOutcome == edit_outcome::kUnknown;
+      // Without a known outcome the keys stay held back, and the commit is tried again.
       if (aOutcome == edit_outcome::kCommitted) {
         FinishDepartures();
       }
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -81,8 +81,6 @@
   version::upstream_id mIncarnation;
   common::session_id mSession;
   std::vector<departure> mDepartures;
-  // The departures were submitted and their outcome is not known.
-  bool mDepartureUnknown = false;
   bool mLeaving = false;
   // Until when the upstream may hold what was granted to it.
   common::boot_time mGrantEnd;
--- a/src/process/sidecar/remote_attempt.h
+++ b/src/process/sidecar/remote_attempt.h
@@ -30,7 +30,7 @@
   void PauseResponse() override { mCall->PauseResponse(); }
   void ResumeResponse() override { mCall->ResumeResponse(); }
   void Cancel() override;
-  bool MayHaveRun() const override { return mCall != nullptr && mCall->MaySent(); }
+  bool MayHaveRun() const override { return mCall != nullptr && mCall->MayBeSent(); }
 
 private:
   // call_observer
--- a/src/process/sidecar/request_body.h
+++ b/src/process/sidecar/request_body.h
@@ -23,7 +23,6 @@
   bool Whole() const { return mWhole; }
   // Passes on what has arrived since.
   void Pump(request::attempt& aAttempt);
-  const std::string& Kept() const { return mKept; }
 
 private:
   connection::http::server_exchange_ptr mExchange;
--- a/src/version/key_map.cpp
+++ b/src/version/key_map.cpp
@@ -113,12 +113,6 @@
   return gaps;
 }
 
-bool key_map::Divided() const
-{
-  return std::any_of(owners.begin(), owners.end(),
-                     [](const key_owner& aOwner) { return !aOwner.ranges.empty(); });
-}
-
 void key_map::RemoveOwner(const std::string& aVm)
 {
   std::erase_if(owners, [&](const key_owner& aOwner) { return aOwner.vm == aVm; });
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -66,7 +66,6 @@
   const key_owner* Find(uint32_t aKey) const;
   // Ranges that nobody owns.
   std::vector<key_range> Unowned() const;
-  bool Divided() const;
   void RemoveOwner(const std::string& aVm);
 };
 
