Pass on the beginning of long bodies

Cause: placing a request took what had arrived of its body to compute the fingerprint; a body of more than 64 KB was then sent without that beginning, so its upstream waited for bytes that never came (504). Change: what was taken first is kept for the attempt; what arrives while a request waits to be placed is passed on. Test: fleet bodies_of_any_size_arrive_whole: failed at 70,000 bytes before, passes up to 3,000,000 now.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -224,6 +224,10 @@
   }
   request::attempt_ptr attempt = mAttempt;
   attempt->Start(mBody.Take(), mBody.Whole());
+  if (mAttempt == attempt) {
+    // What has arrived while the request waited to be placed.
+    mBody.Pump(*attempt);
+  }
 }
 
 void entry_request::WaitForOwner()
--- a/src/process/sidecar/request_body.cpp
+++ b/src/process/sidecar/request_body.cpp
@@ -15,11 +15,8 @@
   mTaken = true;
   mWhole = mExchange->BodyComplete();
   mFinished = mWhole;
-  std::string bytes = mExchange->TakeBody();
-  if (mWhole) {
-    mKept = bytes;
-  }
-  return bytes;
+  mKept = mExchange->TakeBody();
+  return mKept;
 }
 
 void request_body::Pump(request::attempt& aAttempt)
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -200,3 +200,18 @@
   cr_assert_eq(answer.status, 503);
   cr_assert_eq(fleet.record.runs.size(), before);
 }
+
+// Bodies that are longer than what is kept for a second attempt are passed on as they arrive.
+Test(fleet, bodies_of_any_size_arrive_whole)
+{
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  for (size_t bytes :
+       { size_t(1), size_t(60000), size_t(70000), size_t(300000), size_t(3000000) }) {
+    for (size_t vm : { size_t(0), size_t(4) }) {
+      fleet_answer answer = fleet.Ask(vm, "POST", "/book/x", "", std::string(bytes, 'b'));
+      cr_assert_eq(answer.status, 200, "%zu bytes from vm %zu: %d", bytes, vm, answer.status);
+      cr_assert_eq(fleet.record.bodyBytes[fleet.LastId()], bytes);
+    }
+  }
+}
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -19,6 +19,43 @@
   return value == nullptr ? "" : *value;
 }
 
+// Reads a body of any size, then goes on.
+class body_reader : public connection::http::exchange_observer
+{
+public:
+  body_reader(connection::http::event_loop& aLoop, server_exchange_ptr aExchange,
+              std::function<void(size_t)> aCallback)
+    : mLoop(aLoop)
+    , mExchange(std::move(aExchange))
+    , mCallback(std::move(aCallback))
+  {
+    mExchange->SetObserver(this);
+    OnRequestBody();
+  }
+  void OnRequestBody() override
+  {
+    bool complete = mExchange->BodyComplete();
+    mBytes += mExchange->TakeBody().size();
+    if (complete) {
+      End();
+      mCallback(mBytes);
+    }
+  }
+  void OnCallerGone() override { End(); }
+
+private:
+  void End()
+  {
+    mExchange->SetObserver(nullptr);
+    mLoop.Defer([this] { delete this; });
+  }
+
+  connection::http::event_loop& mLoop;
+  server_exchange_ptr mExchange;
+  std::function<void(size_t)> mCallback;
+  size_t mBytes = 0;
+};
+
 } // namespace
 
 upstream_standin::upstream_standin(connection::http::event_loop& aLoop, upstream_standin_plan aPlan,
@@ -149,8 +186,16 @@
   mRecord.beyondSlots += mRunning >= mPlan.slots ? 1 : 0;
   ++mRunning;
   ++mRecord.runs[id];
+  new body_reader(mLoop, aExchange, [this, aExchange, id](size_t aBytes) {
+    mRecord.bodyBytes[id] = aBytes;
+    Run(aExchange, id);
+  });
+}
+
+void upstream_standin::Run(const server_exchange_ptr& aExchange, const std::string& aId)
+{
   mWork.push_back(std::make_unique<connection::http::loop_timer>(
-    mLoop, [this, aExchange, id] { Finish(aExchange, id); }));
+    mLoop, [this, aExchange, aId] { Finish(aExchange, aId); }));
   mWork.back()->Arm(mLoop.Now() + mPlan.work);
 }
 
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -32,6 +32,8 @@
   std::map<std::string, unsigned> runs;
   // Keys that two upstreams held at the same moment.
   unsigned sharedKeys = 0;
+  // Bytes of the bodies that arrived, by request id.
+  std::map<std::string, size_t> bodyBytes;
   unsigned misdirected = 0;
   unsigned beyondSlots = 0;
 };
@@ -57,6 +59,7 @@
 private:
   void Announce();
   void OnAcknowledged(const connection::http::fetch_result& aResult, common::boot_time aSentAt);
+  void Run(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
   void Finish(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
 
   connection::http::event_loop& mLoop;
