--- a/src/process/sidecar/request_body.h
+++ b/src/process/sidecar/request_body.h
@@ -18,8 +18,8 @@
   }
   // Enough has arrived to place the request: all of it, or more than is kept.
   bool Placeable() const;
-  // What the attempt begins with, the same each time. The rest of a body that is not whole follows through
-  // Pump() and can not be sent a second time.
+  // What the attempt begins with, the same each time. The rest of a body that is not whole follows
+  // through Pump() and can not be sent a second time.
   std::string Take();
   bool Whole() const { return mWhole; }
   // Passes on what has arrived since.
