Choose the heirs of keys in one place

Cause: the holder of keys and the takeover listed usable owners by two copies of one loop, found by the last read of the change. Behaviour stays as it is: both asked for owners other than the one that loses the keys, whose upstream serves and whose daemon is not avoided.

--- /dev/null
+++ b/src/process/sidecar/key_heirs.h
@@ -0,0 +1,16 @@
+// Which owners can take keys over from another.
+#pragma once
+
+#include "process/sidecar/runtime.h"
+#include "request/placement.h"
+#include "version/key_plan.h"
+
+namespace bamboograde::process::sidecar {
+
+// The owners of the map, other than aFrom, whose upstream takes work and whose daemon was not lost
+// lately.
+std::vector<version::heir> UsableHeirs(const runtime& aRuntime,
+                                       const request::placement& aPlacement,
+                                       const version::key_map& aMap, const std::string& aFrom);
+
+} // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -1,5 +1,7 @@
 #include "process/sidecar/key_holder.h"
 
+#include "process/sidecar/key_heirs.h"
+
 #include <algorithm>
 
 namespace bamboograde::process::sidecar {
@@ -343,18 +345,7 @@
 
 std::vector<version::heir> key_holder::Heirs() const
 {
-  std::vector<version::heir> heirs;
-  version::key_map_ptr map = Map();
-  common::boot_time now = mRuntime.Now();
-  for (const version::key_owner& owner : map->owners) {
-    const version::member* member = mRuntime.fleet.Members().Find(owner.vm);
-    bool usable = owner.vm != mRuntime.settings.vm && member != nullptr &&
-                  member->Serves(mGate.Service()) && !mPlacement.IsAvoided(owner.vm, now);
-    if (usable) {
-      heirs.push_back({ owner.vm, std::max(member->slots, 1U) });
-    }
-  }
-  return heirs;
+  return UsableHeirs(mRuntime, mPlacement, *Map(), mRuntime.settings.vm);
 }
 
 // Gives keys that nobody owns to the owners; at first that is all of them.
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -1,5 +1,6 @@
 #include "process/sidecar/key_takeover.h"
 
+#include "process/sidecar/key_heirs.h"
 #include "process/sidecar/key_holder.h"
 
 #include <algorithm>
@@ -90,7 +91,8 @@
                                   return aWitness.control == mRuntime.settings.listen.control &&
                                          mWitness.MayPromise(aOwner.session, aWitness.boot, now);
                                 });
-  if (!lapsedHere || (!aOwner.ranges.empty() && Heirs(aMap, aOwner.vm).empty())) {
+  if (!lapsedHere ||
+      (!aOwner.ranges.empty() && UsableHeirs(mRuntime, mPlacement, aMap, aOwner.vm).empty())) {
     return;
   }
   session.nextTry =
@@ -148,21 +150,6 @@
   }
 }
 
-std::vector<version::heir> key_takeover::Heirs(const version::key_map& aMap,
-                                               const std::string& aLost) const
-{
-  std::vector<version::heir> heirs;
-  for (const version::key_owner& owner : aMap.owners) {
-    const version::member* member = mRuntime.fleet.Members().Find(owner.vm);
-    bool usable = owner.vm != aLost && member != nullptr && member->Serves(aMap.service) &&
-                  !mPlacement.IsAvoided(owner.vm, mRuntime.Now());
-    if (usable) {
-      heirs.push_back({ owner.vm, std::max(member->slots, 1U) });
-    }
-  }
-  return heirs;
-}
-
 void key_takeover::Commit(const attempt_ptr& aAttempt)
 {
   mEditor.Edit(
@@ -178,7 +165,7 @@
       for (const version::held_range& held : lost->ranges) {
         ranges.push_back(held.range);
       }
-      std::vector<version::heir> heirs = Heirs(aMap, lost->vm);
+      std::vector<version::heir> heirs = UsableHeirs(mRuntime, mPlacement, aMap, lost->vm);
       if (!ranges.empty() && heirs.empty()) {
         return false;
       }
--- a/src/process/sidecar/key_takeover.h
+++ b/src/process/sidecar/key_takeover.h
@@ -48,7 +48,6 @@
   void Collect(const attempt_ptr& aAttempt);
   void OnPromise(const attempt_ptr& aAttempt, const version::witness_ref& aWitness);
   void Commit(const attempt_ptr& aAttempt);
-  std::vector<version::heir> Heirs(const version::key_map& aMap, const std::string& aLost) const;
 
   runtime& mRuntime;
   connection::platform_store& mStore;
