Push members and key maps between daemons instead of following them in the platform

Gossip carried all versions (74 members) in each message, and a gossiped change restarted both feeds. Ruled out: a longer wait of the feeds (steady state is under 10 % of the calls); feeds at a few daemons only (a change would still wait for gossip rounds at the others). Change: a change is pushed to some daemons of every zone and passed on within a zone, key maps as differences; gossip compares a hash first and exchanges only what differs; the platform keeps one record a daemon, written and read at its start; a conflict is resolved from the answer that told it; daemons that start together claim keys in turns. Tests: http, version, decisions, platform and fleet pass.

--- a/src/connection/platform_store.h
+++ b/src/connection/platform_store.h
@@ -55,6 +55,8 @@
   commit_outcome outcome = commit_outcome::kUnknown;
   // Version of all rows written, when committed.
   common::row_version version;
+  // On a conflict: the rows of the conditions as they are, if the service tells them.
+  std::vector<platform_row> current;
 };
 
 // Every call answers through its callback, once, on the calling task.
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -1,13 +1,22 @@
 #include "process/sidecar/gossip.h"
 
+#include "common/hash.h"
+
+#include <spdlog/fmt/fmt.h>
+
 namespace bamboograde::process::sidecar {
 
 namespace {
 
 constexpr common::milliseconds kPeriod{ 400 };
 constexpr common::milliseconds kTimeout{ 500 };
-// Daemons that are told of a change at once; the others follow by their own rounds and the feed.
-constexpr size_t kFanOut = 2;
+// Sending a large configuration over a slow link takes this long at most.
+constexpr common::milliseconds kTransferTimeout{ 2000 };
+// The feed tells a change within a few milliseconds of its commit; a configuration that a peer has
+// had for longer than the first time is asked for there, and after the second the feed is taken as
+// interrupted.
+constexpr common::milliseconds kFeedTime{ 150 };
+constexpr common::milliseconds kFeedLost{ 1000 };
 
 } // namespace
 
@@ -22,7 +31,7 @@
 void gossip::Start()
 {
   for (const common::endpoint& seed : mRuntime.settings.seeds) {
-    Exchange(seed);
+    Compare(seed);
   }
   Tick();
 }
@@ -32,17 +41,9 @@
   // Spread over time, so that daemons that start together do not send together.
   mTimer.Arm(mRuntime.Now() + kPeriod / 2 +
              common::milliseconds(int64_t(mRuntime.random.Below(uint64_t(kPeriod.count())))));
+  CloseConfigLag();
   if (auto peer = RandomPeer(); peer.has_value()) {
-    Exchange(*peer);
-  }
-}
-
-void gossip::Announce()
-{
-  for (size_t i = 0; i < kFanOut; ++i) {
-    if (auto peer = RandomPeer(); peer.has_value()) {
-      Exchange(*peer);
-    }
+    Compare(*peer);
   }
 }
 
@@ -64,6 +65,12 @@
   return seeds[size_t(mRuntime.random.Below(seeds.size()))];
 }
 
+uint64_t gossip::ConfigVersion() const
+{
+  const version::route_config_ptr& config = mRuntime.fleet.Config();
+  return config == nullptr ? 0 : config->Version().Value();
+}
+
 common::json gossip::Versions() const
 {
   common::json members = common::json::object();
@@ -74,112 +81,172 @@
   for (const auto& [service, map] : mRuntime.fleet.KeyMaps()) {
     maps[service.Str()] = map->version.Value();
   }
-  const auto& config = mRuntime.fleet.Config();
-  return { { "from", mRuntime.settings.listen.control.Str() },
-           { "config", config == nullptr ? 0 : config->Version().Value() },
-           { "members", std::move(members) },
-           { "key_maps", std::move(maps) } };
-}
-
-void gossip::Exchange(const common::endpoint& aControl)
-{
-  common::json body = Versions();
-  if (!mSuspects.Empty()) {
-    body["suspects"] = mSuspects.Export();
-  }
-  mMessenger.Send(aControl, kExchangePath, body, mRuntime.Now() + kTimeout,
-                  [this](const common::result<common::json>& aAnswer) {
-                    if (aAnswer.has_value()) {
-                      OnAnswer(aAnswer.assume_value());
-                    }
-                  });
+  return { { "members", std::move(members) }, { "key_maps", std::move(maps) } };
 }
 
-bool gossip::TheyKnowMore(const common::json& aVersions) const
+uint64_t gossip::Digest() const
 {
-  const fleet_state& fleet = mRuntime.fleet;
-  uint64_t config = fleet.Config() == nullptr ? 0 : fleet.Config()->Version().Value();
-  if (common::GetNumber(aVersions, "config") > config) {
-    return true;
-  }
-  for (const auto& [vm, sequence] : common::GetObject(aVersions, "members").items()) {
-    const version::member* known = fleet.Members().Find(vm);
-    if (sequence.is_number_unsigned() &&
-        (known == nullptr || known->sequence < sequence.get<uint64_t>())) {
-      return true;
-    }
+  std::string text;
+  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
+    text += fmt::format("{} {}\n", vm, member.sequence);
   }
-  for (const auto& [service, row] : common::GetObject(aVersions, "key_maps").items()) {
-    version::key_map_ptr known = fleet.KeyMap(common::service_name(service));
-    if (row.is_number_unsigned() &&
-        (known == nullptr || known->version.Value() < row.get<uint64_t>())) {
-      return true;
-    }
+  for (const auto& [service, map] : mRuntime.fleet.KeyMaps()) {
+    text += fmt::format("{} {}\n", service.Str(), map->version.Value());
   }
-  return false;
+  return common::HashBytes(text);
 }
 
-common::json gossip::OnExchange(const common::json& aBody)
+common::json gossip::NewerThan(const common::json& aVersions) const
 {
-  mSuspects.Import(common::GetArray(aBody, "suspects"), mRuntime.Now());
-  const fleet_state& fleet = mRuntime.fleet;
-  common::json answer = common::json::object();
-  const common::json& theirs = common::GetObject(aBody, "members");
+  const common::json& theirMembers = common::GetObject(aVersions, "members");
   common::json members = common::json::array();
-  for (const auto& [vm, member] : fleet.Members().All()) {
-    if (common::GetNumber(theirs, vm.c_str()) < member.sequence) {
+  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
+    if (common::GetNumber(theirMembers, vm.c_str()) < member.sequence) {
       members.push_back(version::EncodeMember(member));
     }
   }
-  answer["members"] = std::move(members);
-  const common::json& theirMaps = common::GetObject(aBody, "key_maps");
+  const common::json& theirMaps = common::GetObject(aVersions, "key_maps");
   common::json maps = common::json::array();
-  for (const auto& [service, map] : fleet.KeyMaps()) {
+  for (const auto& [service, map] : mRuntime.fleet.KeyMaps()) {
     if (common::GetNumber(theirMaps, service.Str().c_str()) < map->version.Value()) {
       maps.push_back({ { "row", map->version.Value() }, { "map", version::EncodeKeyMap(*map) } });
     }
   }
-  answer["key_maps"] = std::move(maps);
-  bool older = fleet.Config() != nullptr &&
-               common::GetNumber(aBody, "config") < fleet.Config()->Version().Value();
-  if (older) {
-    answer["config"] = fleet.ConfigValue();
+  return { { "members", std::move(members) }, { "key_maps", std::move(maps) } };
+}
+
+void gossip::Compare(const common::endpoint& aControl)
+{
+  if (!mComparing.insert(aControl).second) {
+    return;
   }
+  common::json body = { { "from", mRuntime.settings.listen.control.Str() },
+                        { "digest", Digest() },
+                        { "config", ConfigVersion() } };
+  if (!mSuspects.Empty()) {
+    body["suspects"] = mSuspects.Export();
+  }
+  mMessenger.Send(aControl, kComparePath, body, mRuntime.Now() + kTimeout,
+                  [this, aControl](const common::result<common::json>& aAnswer) {
+                    mComparing.erase(aControl);
+                    if (!aAnswer.has_value()) {
+                      return;
+                    }
+                    mHeardAt = mRuntime.Now();
+                    const common::json& answer = aAnswer.assume_value();
+                    NoteConfig(answer);
+                    if (answer.contains("versions")) {
+                      Exchange(aControl, answer["versions"]);
+                    }
+                  });
+}
+
+common::json gossip::OnCompare(const common::json& aBody)
+{
+  NoteConfig(aBody);
+  common::json answer = { { "from", mRuntime.settings.listen.control.Str() },
+                          { "config", ConfigVersion() } };
   if (!mSuspects.Empty()) {
     answer["suspects"] = mSuspects.Export();
   }
-  answer["more"] = TheyKnowMore(aBody);
-  if (answer["more"].get<bool>()) {
-    common::endpoint control(common::GetString(aBody, "from"));
-    if (!control.Empty()) {
-      Exchange(control);
-    }
+  if (common::GetNumber(aBody, "digest") != Digest()) {
+    answer["versions"] = Versions();
   }
   return answer;
 }
 
-void gossip::OnAnswer(const common::json& aAnswer)
+// Sends what the peer lacks, and is answered with what this daemon lacks.
+void gossip::Exchange(const common::endpoint& aControl, const common::json& aTheirVersions)
 {
-  bool news = false;
-  for (const common::json& value : common::GetArray(aAnswer, "members")) {
+  common::json body = { { "versions", Versions() }, { "news", NewerThan(aTheirVersions) } };
+  mMessenger.Send(aControl, kExchangePath, body, mRuntime.Now() + kTransferTimeout,
+                  [this](const common::result<common::json>& aAnswer) {
+                    if (aAnswer.has_value()) {
+                      Apply(aAnswer.assume_value());
+                    }
+                  });
+}
+
+common::json gossip::OnExchange(const common::json& aBody)
+{
+  Apply(common::GetObject(aBody, "news"));
+  common::json answer = NewerThan(common::GetObject(aBody, "versions"));
+  if (common::GetBool(aBody, "config_wanted") && mRuntime.fleet.Config() != nullptr) {
+    answer["config"] = mRuntime.fleet.ConfigValue();
+  }
+  return answer;
+}
+
+void gossip::Apply(const common::json& aNews)
+{
+  for (const common::json& value : common::GetArray(aNews, "members")) {
     if (auto member = version::DecodeMember(value); member.has_value()) {
       mRuntime.fleet.ApplyMember(*member);
     }
   }
-  for (const common::json& value : common::GetArray(aAnswer, "key_maps")) {
+  for (const common::json& value : common::GetArray(aNews, "key_maps")) {
     auto map = version::DecodeKeyMap(common::GetObject(value, "map"));
     if (map != nullptr) {
       map->version = common::row_version(common::GetNumber(value, "row"));
-      news = mRuntime.fleet.ApplyKeyMap(map) || news;
+      mRuntime.fleet.ApplyKeyMap(map);
     }
   }
-  if (aAnswer.contains("config")) {
-    news = mRuntime.fleet.ApplyConfig(aAnswer["config"]) || news;
+  if (aNews.contains("config")) {
+    mRuntime.fleet.ApplyConfig(aNews["config"]);
+  }
+}
+
+// Learns from a peer's message which configuration it has, and which requests crash upstreams.
+void gossip::NoteConfig(const common::json& aBody)
+{
+  mSuspects.Import(common::GetArray(aBody, "suspects"), mRuntime.Now());
+  uint64_t theirs = common::GetNumber(aBody, "config");
+  common::endpoint from(common::GetString(aBody, "from"));
+  if (theirs <= ConfigVersion() || theirs <= mConfigLag.version || from.Empty()) {
+    return;
+  }
+  bool behindBefore = mConfigLag.version > ConfigVersion();
+  mConfigLag.version = theirs;
+  mConfigLag.source = from;
+  if (!behindBefore) {
+    mConfigLag.since = mRuntime.Now();
+    mConfigLag.reported = false;
+  }
+  // Without any configuration there is nothing to wait for.
+  if (ConfigVersion() == 0) {
+    mConfigLag.since -= kFeedTime;
+    CloseConfigLag();
   }
-  mSuspects.Import(common::GetArray(aAnswer, "suspects"), mRuntime.Now());
-  if (news && mOnLag) {
-    mOnLag();
+}
+
+void gossip::CloseConfigLag()
+{
+  common::boot_time now = mRuntime.Now();
+  bool behind = mConfigLag.version > ConfigVersion();
+  if (!behind || mConfigLag.fetching || now < mConfigLag.since + kFeedTime) {
+    return;
+  }
+  if (now >= mConfigLag.since + kFeedLost && !mConfigLag.reported) {
+    mConfigLag.reported = true;
+    mRuntime.log.Write(line_class::kState, "configuration_late", [this] {
+      return common::json{ { "known", ConfigVersion() }, { "peer", mConfigLag.version } };
+    });
+    if (mOnLag) {
+      mOnLag();
+    }
   }
+  mConfigLag.fetching = true;
+  mMessenger.Send(mConfigLag.source, kExchangePath,
+                  { { "versions", Versions() }, { "config_wanted", true } }, now + kTransferTimeout,
+                  [this](const common::result<common::json>& aAnswer) {
+                    mConfigLag.fetching = false;
+                    if (aAnswer.has_value()) {
+                      Apply(aAnswer.assume_value());
+                    } else {
+                      // The next peer that knows more is asked instead.
+                      mConfigLag.version = ConfigVersion();
+                    }
+                  });
 }
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -17,6 +17,12 @@
 // How long the owners of a service must be the same before its keys are divided for the first time.
 constexpr common::milliseconds kSettleTime{ 1200 };
 constexpr common::milliseconds kRetryJoin{ 200 };
+// Daemons that start together claim their keys one after the other, in order of their addresses, so
+// that each sees the claims before its own: a commit and its spreading take about this long.
+constexpr common::milliseconds kJoinSpacing{ 25 };
+constexpr size_t kMostJoinTurns = 100;
+// A claim that met another one is tried again within this time.
+constexpr uint64_t kConflictJitterMs = 100;
 constexpr common::milliseconds kRenewTimeout{ 400 };
 // A change of witnesses that takes longer is given up; the next one may choose better.
 constexpr common::milliseconds kChangeTime{ 1500 };
@@ -30,6 +36,18 @@
 // A range with this much more load than wanted is still moved.
 constexpr float kMostExcess = 1.5F;
 
+// The upstream with its time of start, which tells two starts under one id apart.
+version::upstream_id StartOf(const announcement& aAnnouncement)
+{
+  return version::upstream_id(aAnnouncement.id.Str() + "@" +
+                              std::to_string(aAnnouncement.startedMs));
+}
+
+bool IsStartOf(const version::upstream_id& aStart, const version::upstream_id& aUpstream)
+{
+  return aStart.Str().rfind(aUpstream.Str() + "@", 0) == 0;
+}
+
 bool Overlap(const version::key_range& aLeft, const version::key_range& aRight)
 {
   return aLeft.first <= aRight.last && aRight.first <= aLeft.last;
@@ -52,12 +70,11 @@
 }
 
 key_holder::key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
-                       gossip& aGossip, upstream_gate& aGate, request::placement& aPlacement,
+                       upstream_gate& aGate, request::placement& aPlacement,
                        common::boot_id aBoot)
   : mRuntime(aRuntime)
   , mEditor(aEditor)
   , mMessenger(aMessenger)
-  , mGossip(aGossip)
   , mGate(aGate)
   , mPlacement(aPlacement)
   , mBoot(std::move(aBoot))
@@ -109,14 +126,14 @@
 
 std::optional<grant> key_holder::OnAnnouncement(const announcement& aAnnouncement)
 {
-  version::upstream_id incarnation(aAnnouncement.id.Str() + "@" +
-                                   std::to_string(aAnnouncement.startedMs));
+  version::upstream_id incarnation = StartOf(aAnnouncement);
   if (incarnation != mIncarnation) {
     // A new start holds nothing. The first one that this process hears of may hold what an earlier
     // process has granted.
     mGrantEnd = mIncarnation.Empty() ? mRuntime.Now() + mHoldTime * 2 : common::boot_time();
     mIncarnation = incarnation;
     mJoinAt = {};
+    mJoinTurnAt = {};
     mLeaving = false;
   }
   if (!Keyed()) {
@@ -162,7 +179,11 @@
     mGate.KeyLoad().Decay();
   }
   if (!Joined()) {
-    if (!mLeaving && now >= mJoinAt && mGate.Ready() && mEditor.Healthy()) {
+    bool able = !mLeaving && mGate.Ready() && mEditor.Healthy();
+    if (able && mJoinTurnAt == common::boot_time()) {
+      mJoinTurnAt = now + kJoinSpacing * int64_t(JoinTurn());
+    }
+    if (able && now >= std::max(mJoinAt, mJoinTurnAt)) {
       mJoinAt = now + kRetryJoin;
       Join();
     }
@@ -184,6 +205,19 @@
   CommitDepartures();
 }
 
+// How many daemons of the service that have not claimed keys either go before this one.
+size_t key_holder::JoinTurn() const
+{
+  version::key_map_ptr map = Map();
+  size_t before = 0;
+  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
+    const version::key_owner* owner = map == nullptr ? nullptr : map->Owner(vm);
+    bool joined = owner != nullptr && IsStartOf(owner->upstream, member.upstream);
+    before += vm < mRuntime.settings.vm && member.Serves(mGate.Service()) && !joined ? 1 : 0;
+  }
+  return std::min(before, kMostJoinTurns);
+}
+
 void key_holder::Join()
 {
   common::session_id session(common::MakeUniqueId());
@@ -210,6 +244,10 @@
       return true;
     },
     [this, session, witnesses](edit_outcome aOutcome) {
+      if (aOutcome == edit_outcome::kConflict) {
+        mJoinAt = mRuntime.Now() +
+                  common::milliseconds(int64_t(mRuntime.random.Below(kConflictJitterMs)));
+      }
       if (aOutcome != edit_outcome::kCommitted) {
         return;
       }
@@ -222,7 +260,6 @@
       mRuntime.log.Write(line_class::kState, "joined", [&] {
         return common::json{ { "session", session.Str() }, { "upstream", mIncarnation.Str() } };
       });
-      mGossip.Announce();
       mRenewAt = {};
       Tick();
     });
@@ -379,7 +416,7 @@
       }
       return true;
     },
-    [this](edit_outcome) { mGossip.Announce(); });
+    [](edit_outcome) {});
 }
 
 void key_holder::Balance()
@@ -551,16 +588,8 @@
 
 void key_holder::FinishDepartures()
 {
-  std::vector<departure> done;
-  done.swap(mDepartures);
+  mDepartures.clear();
   PublishHeldBack();
-  for (const departure& item : done) {
-    const version::member* target = mRuntime.fleet.Members().Find(item.target);
-    if (target != nullptr) {
-      mGossip.AnnounceTo(target->control);
-    }
-  }
-  mGossip.Announce();
 }
 
 void key_holder::OnKeyMapChanged()
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -7,7 +7,6 @@
 
 #include "process/lease/lease_holder.h"
 #include "process/lease/witness_choice.h"
-#include "process/sidecar/gossip.h"
 #include "process/sidecar/key_map_editor.h"
 #include "process/sidecar/upstream_gate.h"
 #include "version/key_plan.h"
@@ -22,8 +21,7 @@
 {
 public:
   key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
-             gossip& aGossip, upstream_gate& aGate, request::placement& aPlacement,
-             common::boot_id aBoot);
+             upstream_gate& aGate, request::placement& aPlacement, common::boot_id aBoot);
 
   // What the upstream is to hold, in answer to an announcement; empty when nothing can be promised.
   std::optional<grant> OnAnnouncement(const announcement& aAnnouncement);
@@ -50,6 +48,7 @@
   const version::key_owner* Own() const;
   bool Joined() const;
   void Join();
+  size_t JoinTurn() const;
   lease::witness_set ChooseWitnesses(const lease::witness_set& aKeep);
   void Renew();
   void OnRenewed(const version::witness_ref& aWitness, const common::session_id& aSession,
@@ -70,7 +69,6 @@
   runtime& mRuntime;
   key_map_editor& mEditor;
   peer_messenger& mMessenger;
-  gossip& mGossip;
   upstream_gate& mGate;
   request::placement& mPlacement;
   common::boot_id mBoot;
@@ -86,6 +84,7 @@
   common::boot_time mGrantEnd;
   common::boot_time mRenewAt;
   common::boot_time mJoinAt;
+  common::boot_time mJoinTurnAt;
   common::boot_time mJoinedAt;
   // The change of witnesses that is under way.
   lease::witness_set mNextWitnesses;
--- a/src/process/sidecar/key_map_editor.cpp
+++ b/src/process/sidecar/key_map_editor.cpp
@@ -36,33 +36,56 @@
   change.operation = common::operation_id(common::MakeUniqueId());
   change.conditions.push_back({ name, changed->version });
   change.writes.push_back({ name, version::EncodeKeyMap(*changed) });
-  mStore.Commit(
-    change, mRuntime.Now() + kCommitTimeout,
-    [this, changed, callback = std::move(aCallback)](const connection::commit_result& aResult) {
-      OnCommitted(changed, aResult, callback);
-    });
+  mStore.Commit(change, mRuntime.Now() + kCommitTimeout,
+                [this, known, changed,
+                 callback = std::move(aCallback)](const connection::commit_result& aResult) {
+                  OnAnswer(known, changed, aResult, callback);
+                });
   return true;
 }
 
-void key_map_editor::OnCommitted(const boost::intrusive_ptr<version::key_map>& aMap,
-                                 const connection::commit_result& aResult,
-                                 const edit_callback& aCallback)
+void key_map_editor::OnAnswer(const version::key_map_ptr& aBefore,
+                              const boost::intrusive_ptr<version::key_map>& aMap,
+                              const connection::commit_result& aResult,
+                              const edit_callback& aCallback)
 {
-  if (aResult.outcome == connection::commit_outcome::kCommitted) {
-    mBusy = false;
-    aMap->version = aResult.version;
-    mRuntime.fleet.ApplyKeyMap(aMap);
-    mRuntime.log.Write(line_class::kState, "key_map_committed", [&] {
-      return common::json{ { "service", aMap->service.Str() }, { "map", aMap->version.Value() } };
-    });
-    aCallback(edit_outcome::kCommitted);
-    return;
+  switch (aResult.outcome) {
+    case connection::commit_outcome::kCommitted:
+      mBusy = false;
+      aMap->version = aResult.version;
+      mRuntime.fleet.ApplyKeyMap(aMap);
+      mBroadcast.SpreadKeyMap(aBefore.get(), *aMap);
+      mRuntime.counters.Add("bamboograde_key_map_commits_total");
+      mRuntime.log.Write(line_class::kState, "key_map_committed", [&] {
+        return common::json{ { "service", aMap->service.Str() }, { "map", aMap->version.Value() } };
+      });
+      aCallback(edit_outcome::kCommitted);
+      return;
+    case connection::commit_outcome::kConflict:
+      mRuntime.counters.Add("bamboograde_key_map_conflicts_total");
+      if (aResult.current.size() == 1 && ApplyRow(aResult.current.front())) {
+        mBusy = false;
+        aCallback(edit_outcome::kConflict);
+        return;
+      }
+      Reread(aMap->service, edit_outcome::kConflict, aCallback);
+      return;
+    case connection::commit_outcome::kUnknown:
+      mHealthyAt = mRuntime.Now() + kUnhealthyTime;
+      Reread(aMap->service, edit_outcome::kUnknown, aCallback);
+      return;
   }
-  bool unknown = aResult.outcome == connection::commit_outcome::kUnknown;
-  if (unknown) {
-    mHealthyAt = mRuntime.Now() + kUnhealthyTime;
+}
+
+bool key_map_editor::ApplyRow(const connection::platform_row& aRow)
+{
+  auto map = version::DecodeKeyMap(aRow.value);
+  if (map == nullptr) {
+    return false;
   }
-  Reread(aMap->service, unknown ? edit_outcome::kUnknown : edit_outcome::kConflict, aCallback);
+  map->version = aRow.version;
+  mRuntime.fleet.ApplyKeyMap(map);
+  return true;
 }
 
 void key_map_editor::Reread(const common::service_name& aService, edit_outcome aOutcome,
@@ -72,11 +95,7 @@
               [this, aOutcome, aCallback](const common::result<connection::platform_row>& aRow) {
                 mBusy = false;
                 if (aRow.has_value()) {
-                  auto map = version::DecodeKeyMap(aRow.assume_value().value);
-                  if (map != nullptr) {
-                    map->version = aRow.assume_value().version;
-                    mRuntime.fleet.ApplyKeyMap(map);
-                  }
+                  ApplyRow(aRow.assume_value());
                 } else {
                   mHealthyAt = mRuntime.Now() + kUnhealthyTime;
                 }
--- a/src/process/sidecar/key_map_editor.h
+++ b/src/process/sidecar/key_map_editor.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "connection/platform_store.h"
-#include "process/sidecar/runtime.h"
+#include "process/sidecar/change_broadcast.h"
 
 namespace bamboograde::process::sidecar {
 
@@ -25,9 +25,11 @@
   using edit = std::function<bool(version::key_map&)>;
   using edit_callback = std::function<void(edit_outcome)>;
 
-  key_map_editor(runtime& aRuntime, connection::platform_store& aStore)
+  key_map_editor(runtime& aRuntime, connection::platform_store& aStore,
+                 change_broadcast& aBroadcast)
     : mRuntime(aRuntime)
     , mStore(aStore)
+    , mBroadcast(aBroadcast)
   {
   }
   // Applies the edit to the newest known map and commits it. False when another change is under
@@ -38,13 +40,17 @@
   bool Healthy() const { return mRuntime.Now() >= mHealthyAt; }
 
 private:
-  void OnCommitted(const boost::intrusive_ptr<version::key_map>& aMap,
-                   const connection::commit_result& aResult, const edit_callback& aCallback);
+  void OnAnswer(const version::key_map_ptr& aBefore,
+                const boost::intrusive_ptr<version::key_map>& aMap,
+                const connection::commit_result& aResult, const edit_callback& aCallback);
+  // Applies a map that the platform has told; false when the row holds none.
+  bool ApplyRow(const connection::platform_row& aRow);
   void Reread(const common::service_name& aService, edit_outcome aOutcome,
               const edit_callback& aCallback);
 
   runtime& mRuntime;
   connection::platform_store& mStore;
+  change_broadcast& mBroadcast;
   bool mBusy = false;
   common::boot_time mHealthyAt;
 };
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -33,13 +33,12 @@
 } // namespace
 
 key_takeover::key_takeover(runtime& aRuntime, connection::platform_store& aStore,
-                           key_map_editor& aEditor, peer_messenger& aMessenger, gossip& aGossip,
+                           key_map_editor& aEditor, peer_messenger& aMessenger,
                            request::placement& aPlacement, common::boot_id aBoot)
   : mRuntime(aRuntime)
   , mStore(aStore)
   , mEditor(aEditor)
   , mMessenger(aMessenger)
-  , mGossip(aGossip)
   , mPlacement(aPlacement)
   , mTerms(LeaseTermsFor(aRuntime.settings.announcePeriod))
   , mWitness(mTerms, std::move(aBoot), aRuntime.Now())
@@ -188,7 +187,6 @@
       });
       if (aOutcome == edit_outcome::kCommitted) {
         mRuntime.counters.Add("bamboograde_takeovers_total");
-        mGossip.Announce();
       }
     });
 }
--- a/src/process/sidecar/key_takeover.h
+++ b/src/process/sidecar/key_takeover.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include "process/lease/lease_witness.h"
-#include "process/sidecar/gossip.h"
 #include "process/sidecar/key_map_editor.h"
 #include "request/placement.h"
 #include "version/key_plan.h"
@@ -19,7 +18,7 @@
 {
 public:
   key_takeover(runtime& aRuntime, connection::platform_store& aStore, key_map_editor& aEditor,
-               peer_messenger& aMessenger, gossip& aGossip, request::placement& aPlacement,
+               peer_messenger& aMessenger, request::placement& aPlacement,
                common::boot_id aBoot);
   // Call every few dozen milliseconds.
   void Tick();
@@ -53,7 +52,6 @@
   connection::platform_store& mStore;
   key_map_editor& mEditor;
   peer_messenger& mMessenger;
-  gossip& mGossip;
   request::placement& mPlacement;
   lease::lease_terms mTerms;
   lease::lease_witness mWitness;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -12,8 +12,6 @@
 constexpr common::milliseconds kFlushPeriod{ 200 };
 // Requests that wait for a key's owner look again at least this often.
 constexpr common::milliseconds kReconsiderPeriod{ 50 };
-constexpr common::milliseconds kWriteTimeout{ 2000 };
-constexpr common::milliseconds kWriteRetry{ 500 };
 // After SIGTERM, callers find out that the daemon is not ready and go elsewhere within this time.
 constexpr common::milliseconds kNoticeTime{ 2500 };
 // The process ends this long before its grace time is over, whatever is in flight.
@@ -21,7 +19,6 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr char kMemberPrefix[] = "member/";
 constexpr char kMetricsPath[] = "/metrics";
 
 using connection::http::caller_limits;
@@ -112,6 +109,10 @@
     common::json answer;
     if (path == kPingPath) {
       answer = common::json::object();
+    } else if (path == kUpdatePath) {
+      answer = mSidecar.mBroadcast.OnUpdate(body.assume_value());
+    } else if (path == kComparePath) {
+      answer = mSidecar.mGossip.OnCompare(body.assume_value());
     } else if (path == kExchangePath) {
       answer = mSidecar.mGossip.OnExchange(body.assume_value());
     } else if (path == kRenewPath) {
@@ -147,33 +148,6 @@
   sidecar& mSidecar;
 };
 
-// Members and key maps that others have stored.
-class sidecar::row_listener : public connection::row_feed_observer
-{
-public:
-  explicit row_listener(sidecar& aSidecar)
-    : mSidecar(aSidecar)
-  {
-  }
-  void OnRow(const connection::platform_row& aRow) override
-  {
-    if (aRow.value.is_null()) {
-      return;
-    }
-    if (aRow.name.compare(0, sizeof(kMemberPrefix) - 1, kMemberPrefix) == 0) {
-      if (auto member = version::DecodeMember(aRow.value); member.has_value()) {
-        mSidecar.mFleet.ApplyMember(*member);
-      }
-    } else if (auto map = version::DecodeKeyMap(aRow.value); map != nullptr) {
-      map->version = aRow.version;
-      mSidecar.mFleet.ApplyKeyMap(map);
-    }
-  }
-
-private:
-  sidecar& mSidecar;
-};
-
 class sidecar::config_listener : public connection::row_feed_observer
 {
 public:
@@ -208,17 +182,18 @@
   , mGate(mRuntime, mSuspects)
   , mMessenger(mRuntime)
   , mWatch(mRuntime, mMessenger, mPlacement)
+  , mBroadcast(mRuntime, mMessenger)
   , mGossip(mRuntime, mMessenger, mSuspects)
-  , mEditor(mRuntime, aPorts.store)
-  , mKeys(mRuntime, mEditor, mMessenger, mGossip, mGate, mPlacement, mBoot)
-  , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mGossip, mPlacement, mBoot)
+  , mStored(mRuntime, aPorts.store, mGossip, [this] { mBroadcast.SpreadMember(mSelf); })
+  , mEditor(mRuntime, aPorts.store, mBroadcast)
+  , mKeys(mRuntime, mEditor, mMessenger, mGate, mPlacement, mBoot)
+  , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { TellFleet(); })
   , mEntry{ mRuntime, mGate, mPlacement, mWatch, mBudgets, mWaiting, mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
   , mReadiness(std::make_unique<readiness_listener>(*this))
-  , mRows(std::make_unique<row_listener>(*this))
   , mConfigs(std::make_unique<config_listener>(*this))
   , mTimer(aLoop, [this] { Tick(); })
 {
@@ -242,12 +217,10 @@
   }
   // 3. Everything that others know.
   mPorts.configuration.Start(mConfigs.get());
-  mPorts.rows.Start(mRows.get());
-  mGossip.SetLagObserver([this] {
-    mPorts.configuration.Refresh();
-    mPorts.rows.Refresh();
-  });
+  mGossip.SetLagObserver([this] { mPorts.configuration.Refresh(); });
+  mBroadcast.SetGapObserver([this](const common::endpoint& aPeer) { mGossip.Compare(aPeer); });
   TellFleet();
+  mStored.Start(mSelf);
   mGossip.Start();
   // 4. The daemon's own clockwork.
   AddGauges();
@@ -320,13 +293,11 @@
   mRegistry.Tick();
   mKeys.Tick();
   mTakeover.Tick();
+  mStored.Tick();
   if (now >= mReconsiderAt && !mWaiting.empty()) {
     mReconsiderAt = now + kReconsiderPeriod;
     ReconsiderWaiting();
   }
-  if (mMemberDirty && !mMemberWriting && now >= mMemberWriteAt) {
-    WriteMember();
-  }
   if (now >= mFlushAt) {
     mFlushAt = now + kFlushPeriod;
     mLog.Flush();
@@ -336,7 +307,7 @@
   }
 }
 
-// Makes a new record of this daemon and spreads it.
+// Makes a new record of this daemon and sends it to the others.
 void sidecar::TellFleet()
 {
   const version::member* known = mFleet.Members().Find(mSettings.vm);
@@ -350,25 +321,7 @@
   mSelf.slots = mRegistry.Current().slots;
   mSelf.stopping = mStopping;
   mFleet.ApplyMember(mSelf);
-  mMemberDirty = true;
-  mGossip.Announce();
-}
-
-void sidecar::WriteMember()
-{
-  mMemberDirty = false;
-  mMemberWriting = true;
-  connection::transaction change;
-  change.operation = common::operation_id(common::MakeUniqueId());
-  change.writes.push_back({ kMemberPrefix + mSettings.vm, version::EncodeMember(mSelf) });
-  mPorts.store.Commit(change, mRuntime.Now() + kWriteTimeout,
-                      [this](const connection::commit_result& aResult) {
-                        mMemberWriting = false;
-                        if (aResult.outcome != connection::commit_outcome::kCommitted) {
-                          mMemberDirty = true;
-                          mMemberWriteAt = mRuntime.Now() + kWriteRetry;
-                        }
-                      });
+  mBroadcast.SpreadMember(mSelf);
 }
 
 void sidecar::OnMemberChanged(const version::member& aMember)
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -5,6 +5,7 @@
 #include "process/sidecar/entry_request.h"
 #include "process/sidecar/forwarded_request.h"
 #include "process/sidecar/key_takeover.h"
+#include "process/sidecar/stored_fleet.h"
 #include "process/sidecar/upstream_registry.h"
 
 #include "connection/row_feed.h"
@@ -19,8 +20,6 @@
   const request::header_translator& headers;
   const upstream_codec& upstream;
   connection::platform_store& store;
-  // Members and key maps.
-  connection::row_feed& rows;
   // The operator's configuration.
   connection::row_feed& configuration;
 };
@@ -45,7 +44,6 @@
   class forward_listener;
   class control_listener;
   class readiness_listener;
-  class row_listener;
   class config_listener;
 
   void OnMemberChanged(const version::member& aMember) override;
@@ -55,7 +53,6 @@
   void AddGauges();
   void Tick();
   void TellFleet();
-  void WriteMember();
   bool Ready() const { return mFleet.Config() != nullptr && !mStopping; }
   void ReconsiderWaiting();
   void EndWhenDone();
@@ -76,7 +73,9 @@
   upstream_gate mGate;
   peer_messenger mMessenger;
   peer_watch mWatch;
+  change_broadcast mBroadcast;
   gossip mGossip;
+  stored_fleet mStored;
   key_map_editor mEditor;
   key_holder mKeys;
   key_takeover mTakeover;
@@ -90,14 +89,10 @@
   std::unique_ptr<forward_listener> mForwards;
   std::unique_ptr<control_listener> mControl;
   std::unique_ptr<readiness_listener> mReadiness;
-  std::unique_ptr<row_listener> mRows;
   std::unique_ptr<config_listener> mConfigs;
   std::vector<std::unique_ptr<connection::http::tcp_listener>> mListeners;
   connection::http::loop_timer mTimer;
   version::member mSelf;
-  bool mMemberDirty = false;
-  bool mMemberWriting = false;
-  common::boot_time mMemberWriteAt;
   common::boot_time mTickedAt;
   common::boot_time mFlushAt;
   common::boot_time mReconsiderAt;
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -49,6 +49,7 @@
   std::vector<witness_ref> witnesses;
   // In order; disjoint from those of the other owners.
   std::vector<held_range> ranges;
+  bool operator==(const key_owner&) const = default;
 };
 
 struct key_map : public boost::intrusive_ref_counter<key_map, boost::thread_unsafe_counter>
--- /dev/null
+++ b/src/version/key_map_delta.cpp
@@ -0,0 +1,80 @@
+#include "version/key_map_delta.h"
+
+namespace bamboograde::version {
+
+common::json EncodeKeyMapDelta(const key_map* aBefore, const key_map& aAfter)
+{
+  // Only what differs is kept of the new map; it is encoded like a whole one.
+  key_map changed;
+  changed.service = aAfter.service;
+  changed.lastFence = aAfter.lastFence;
+  for (const key_owner& owner : aAfter.owners) {
+    const key_owner* former = aBefore == nullptr ? nullptr : aBefore->Owner(owner.vm);
+    if (former == nullptr || *former != owner) {
+      changed.owners.push_back(owner);
+    }
+  }
+  common::json gone = common::json::array();
+  if (aBefore != nullptr) {
+    for (const key_owner& owner : aBefore->owners) {
+      if (aAfter.Owner(owner.vm) == nullptr) {
+        gone.push_back(owner.vm);
+      }
+    }
+  }
+  return { { "base", aBefore == nullptr ? 0 : aBefore->version.Value() },
+           { "row", aAfter.version.Value() },
+           { "changed", EncodeKeyMap(changed) },
+           { "gone", std::move(gone) } };
+}
+
+common::service_name ServiceOfDelta(const common::json& aDelta)
+{
+  return common::service_name(
+    common::GetString(common::GetObject(aDelta, "changed"), "service"));
+}
+
+applied_delta ApplyKeyMapDelta(const key_map* aKnown, const common::json& aDelta)
+{
+  applied_delta applied;
+  boost::intrusive_ptr<key_map> changed = DecodeKeyMap(common::GetObject(aDelta, "changed"));
+  common::row_version base(common::GetNumber(aDelta, "base"));
+  common::row_version row(common::GetNumber(aDelta, "row"));
+  if (changed == nullptr || row <= base) {
+    return applied;
+  }
+  applied.service = changed->service;
+  common::row_version known = aKnown == nullptr ? common::row_version() : aKnown->version;
+  if (known >= row) {
+    applied.result = delta_result::kStale;
+    return applied;
+  }
+  if (known != base) {
+    applied.result = delta_result::kGap;
+    return applied;
+  }
+  boost::intrusive_ptr<key_map> next(new key_map());
+  next->service = changed->service;
+  next->version = row;
+  next->lastFence = changed->lastFence;
+  if (aKnown != nullptr) {
+    next->owners = aKnown->owners;
+  }
+  for (const common::json& vm : common::GetArray(aDelta, "gone")) {
+    if (vm.is_string()) {
+      next->RemoveOwner(vm.get<std::string>());
+    }
+  }
+  for (key_owner& owner : changed->owners) {
+    if (key_owner* former = next->Owner(owner.vm); former != nullptr) {
+      *former = std::move(owner);
+    } else {
+      next->owners.push_back(std::move(owner));
+    }
+  }
+  applied.result = delta_result::kApplied;
+  applied.map = next;
+  return applied;
+}
+
+} // namespace bamboograde::version
