Divide a leaving owner's keys among few heirs; doubt silence that comes all at once

A daemon that stopped spread its keys over all 29 other owners; the difference of 12 KB, sent to all of them, filled its link of 10 Mbit/s for 0.4 s. In that time five daemons seemed silent to it, it gave up requests that were running there, and answered 502 after SIGTERM. Ruled out: processor time (0.016 of a core on average, no late turn of the loop), frozen peers (all answered others). Change: at most six heirs, the least used; timeouts of signs of life grow with each new silence and shrink with each answer; a daemon that stops never gives up a request that runs elsewhere.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -381,8 +381,10 @@
 
 bool entry_request::OnAttemptSilent()
 {
-  // The owner of a key is the only one that could answer.
-  mRepeatGranted = !mFacts.key.has_value() && !mRelay.Started() && MayRepeat();
+  // The owner of a key is the only one that could answer, and a daemon that stops finishes what is
+  // in flight.
+  mRepeatGranted = !mContext.stopping && !mFacts.key.has_value() && !mRelay.Started() &&
+                   MayRepeat();
   return mRepeatGranted;
 }
 
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -23,6 +23,8 @@
   std::map<common::service_name, request::shared_budget>& budgets;
   // Requests that wait for a change of a key map.
   std::set<class entry_request*>& waiting;
+  // The daemon stops: what is in flight is finished.
+  const bool& stopping;
   // The daemon ends soon: whoever still comes is sent away.
   const bool& closing;
 };
--- a/src/process/sidecar/key_heirs.cpp
+++ b/src/process/sidecar/key_heirs.cpp
@@ -4,6 +4,16 @@
 
 namespace bamboograde::process::sidecar {
 
+namespace {
+
+// The keys of one owner are divided among this many others at most: enough that none of them gets
+// much more than it had, few enough that the change stays small in a large fleet.
+constexpr size_t kMostHeirs = 6;
+// Assumed of an owner that was not heard of lately.
+constexpr double kUnknownUse = 0.5;
+
+} // namespace
+
 std::vector<version::heir> UsableHeirs(const runtime& aRuntime,
                                        const request::placement& aPlacement,
                                        const version::key_map& aMap, const std::string& aFrom)
@@ -15,10 +25,20 @@
     bool usable = owner.vm != aFrom && member != nullptr && member->Serves(aMap.service) &&
                   !aPlacement.IsAvoided(owner.vm, now);
     if (usable) {
-      heirs.push_back({ owner.vm, std::max(member->slots, 1U) });
+      heirs.push_back({ owner.vm, std::max(member->slots, 1U),
+                        aPlacement.Use(owner.vm, now).value_or(kUnknownUse) });
     }
   }
+  for (size_t left = heirs.size(); left > 1; --left) {
+    std::swap(heirs[left - 1], heirs[size_t(aRuntime.random.Below(left))]);
+  }
   return heirs;
 }
 
+std::vector<version::heir> FewHeirs(const runtime& aRuntime, const request::placement& aPlacement,
+                                    const version::key_map& aMap, const std::string& aFrom)
+{
+  return version::LeastUsed(UsableHeirs(aRuntime, aPlacement, aMap, aFrom), kMostHeirs);
+}
+
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -477,7 +477,8 @@
   if (!Joined() || !mDepartures.empty() || Empty()) {
     return;
   }
-  std::vector<version::heir> heirs = Heirs();
+  std::vector<version::heir> heirs =
+    FewHeirs(mRuntime, mPlacement, *Map(), mRuntime.settings.vm);
   if (heirs.empty()) {
     return;
   }
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -164,7 +164,7 @@
       for (const version::held_range& held : lost->ranges) {
         ranges.push_back(held.range);
       }
-      std::vector<version::heir> heirs = UsableHeirs(mRuntime, mPlacement, aMap, lost->vm);
+      std::vector<version::heir> heirs = FewHeirs(mRuntime, mPlacement, aMap, lost->vm);
       if (!ranges.empty() && heirs.empty()) {
         return false;
       }
--- a/src/process/sidecar/peer_watch.cpp
+++ b/src/process/sidecar/peer_watch.cpp
@@ -65,10 +65,11 @@
   common::boot_time now = mRuntime.Now();
   aPeer.asking = true;
   aPeer.askAt = now + kAskAgain;
-  mMessenger.Send(aPeer.control, kPingPath, common::json::object(), now + kPingTimeout,
+  mMessenger.Send(aPeer.control, kPingPath, common::json::object(), now + mHealth.Stretch(kPingTimeout),
                   [this, aVm](const common::result<common::json>& aAnswer) {
                     mPeers[aVm].asking = false;
                     if (aAnswer.has_value()) {
+                      mHealth.OnAnswer();
                       OnHeard(aVm);
                     } else {
                       OnSilence(aVm);
@@ -80,6 +81,7 @@
 {
   peer_state& peer = mPeers[aVm];
   if (!peer.silent) {
+    mHealth.OnSilence();
     mRuntime.counters.Add("bamboograde_silent_peers_total");
     mRuntime.log.Write(line_class::kState, "peer_silent", [&] {
       return common::json{ { "peer", aVm }, { "owed", peer.clients.size() } };
--- a/src/process/sidecar/peer_watch.h
+++ b/src/process/sidecar/peer_watch.h
@@ -5,6 +5,7 @@
 // it is asked again until it answers.
 #pragma once
 
+#include "process/sidecar/local_health.h"
 #include "process/sidecar/peer_messenger.h"
 #include "request/placement.h"
 
@@ -53,6 +54,7 @@
   peer_messenger& mMessenger;
   request::placement& mPlacement;
   std::map<std::string, peer_state> mPeers;
+  local_health mHealth;
 };
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -189,7 +189,7 @@
   , mKeys(mRuntime, mEditor, mMessenger, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { TellFleet(); })
-  , mEntry{ mRuntime, mGate, mPlacement, mWatch, mBudgets, mWaiting, mClosing }
+  , mEntry{ mRuntime, mGate, mPlacement, mWatch, mBudgets, mWaiting, mStopping, mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
--- a/src/version/key_plan.cpp
+++ b/src/version/key_plan.cpp
@@ -1,5 +1,7 @@
 #include "version/key_plan.h"
 
+#include <algorithm>
+
 namespace bamboograde::version {
 
 namespace {
@@ -51,4 +53,14 @@
   return plan;
 }
 
+std::vector<heir> LeastUsed(std::vector<heir> aHeirs, size_t aMost)
+{
+  std::stable_sort(aHeirs.begin(), aHeirs.end(),
+                   [](const heir& aLeft, const heir& aRight) { return aLeft.use < aRight.use; });
+  if (aHeirs.size() > aMost) {
+    aHeirs.resize(aMost);
+  }
+  return aHeirs;
+}
+
 } // namespace bamboograde::version
--- a/src/version/key_plan.h
+++ b/src/version/key_plan.h
@@ -10,6 +10,8 @@
   std::string vm;
   // Requests that its upstream can run at the same time.
   unsigned slots = 1;
+  // Share of its slots that is in use or asked for.
+  double use = 0;
 };
 
 struct key_assignment
@@ -23,4 +25,8 @@
 std::vector<key_assignment> SpreadKeys(const std::vector<key_range>& aRanges,
                                        const std::vector<heir>& aHeirs, const key_load* aLoad);
 
+// At most aMost of the heirs, the least used first. Spreading keys over few heirs keeps the number of
+// ranges, and so the size of the map and of its changes, independent of the fleet's size.
+std::vector<heir> LeastUsed(std::vector<heir> aHeirs, size_t aMost);
+
 } // namespace bamboograde::version
