Search for a free slot before waiting for one; pass a failure on rather than compete for a repeat

Cause: in a fleet of 74 daemons each one sends to a given upstream about once in 4 s, so the reports by which it places requests are older than the requests last. Ruled out: spreading load digests in the zone every 100 ms (55 daemons a zone would cost over 1.5 % of a core each). Change: a request asks up to four gates of its zone and then others whether they have a free slot, and waits only when none has, where the wait is shortest; two questions while under 15 % of the questions find a slot; a repeat after a failure goes only where a slot is free, and the upstream's own answer is passed on otherwise.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -58,6 +58,7 @@
   , mRelay(mExchange, kHoldBytes)
   , mDeadline(aContext.process.loop, [this] { OnDeadline(); })
   , mArrivedAt(aContext.process.Now())
+  , mSearch(aContext.placement)
 {
 }
 
@@ -184,38 +185,47 @@
   Begin(*target);
 }
 
-void entry_request::PlaceAnywhere()
+std::vector<const version::member*>
+entry_request::FindCandidates(std::vector<request::placement_candidate>* aCandidates) const
 {
   const sidecar_settings& settings = mContext.process.settings;
-  std::vector<request::placement_candidate> candidates;
   std::vector<const version::member*> members;
   for (const auto& [vm, member] : mContext.process.fleet.Members().All()) {
     bool here = vm == settings.vm;
     bool serves = here ? mContext.gate.Ready() && mContext.gate.Service() == mFacts.service
                        : member.Serves(mFacts.service);
-    if (!serves || mTried.count(vm) > 0) {
-      continue;
+    if (serves) {
+      request::distance away = here                           ? request::distance::kSameVm
+                               : member.zone == settings.zone ? request::distance::kSameZone
+                                                              : request::distance::kOtherZone;
+      aCandidates->push_back({ vm, away, member.slots });
+      members.push_back(&member);
     }
-    request::distance away = here                           ? request::distance::kSameVm
-                             : member.zone == settings.zone ? request::distance::kSameZone
-                                                            : request::distance::kOtherZone;
-    candidates.push_back({ vm, away, member.slots });
-    members.push_back(&member);
   }
-  if (candidates.empty()) {
+  return members;
+}
+
+void entry_request::PlaceAnywhere()
+{
+  common::boot_time now = mContext.process.Now();
+  std::vector<request::placement_candidate> candidates;
+  auto members = FindCandidates(&candidates);
+  mContext.placement.OnReport(mContext.process.settings.vm, mContext.gate.Load(), now);
+  auto step = mSearch.Next(candidates, now);
+  if (!step.has_value()) {
     Reject(mLastRefusal.empty() ? "no_upstream" : mLastRefusal.c_str(),
            std::max<common::microseconds>(mRetryAfter, kFirstRetryAfter));
     return;
   }
-  mContext.placement.OnReport(settings.vm, mContext.gate.Load(), mContext.process.Now());
-  Begin(*members[mContext.placement.Choose(candidates, mContext.process.Now())]);
+  // A body that is not kept can not be offered to a second gate.
+  mFacts.onlyIfFree = step->onlyIfFree && mBody.Whole();
+  Begin(*members[step->index]);
 }
 
 void entry_request::Begin(const version::member& aTarget)
 {
   boost::intrusive_ptr<entry_request> self(this);
   mTarget = aTarget.vm;
-  mTried.insert(aTarget.vm);
   if (aTarget.vm == mContext.process.settings.vm) {
     mAttempt = new local_attempt(mContext.process, mContext.gate, mExchange->Head(), mFacts, this);
   } else {
@@ -262,6 +272,12 @@
   return mContext.budgets[mFacts.service].TryTake(process.fleet.LiveMembers(), process.Now());
 }
 
+void entry_request::SearchAnew(bool aMayWait)
+{
+  mSearch.OnRefused(mTarget);
+  mSearch.Restart(aMayWait);
+}
+
 void entry_request::OnRequestBody()
 {
   boost::intrusive_ptr<entry_request> self(this);
@@ -293,6 +309,10 @@
 
 void entry_request::OnAttemptHead(connection::http::response_head& aHead)
 {
+  mHoldsAnswer = false;
+  if (mFacts.onlyIfFree) {
+    mContext.placement.OnAsked(true);
+  }
   mRelay.OnHead(aHead);
 }
 
@@ -310,7 +330,9 @@
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [this] { return Describe("repeated", "upstream_error"); });
-    mRelay.Discard();
+    mHoldsAnswer = true;
+    // While others wait for a slot, a second try would take the place of a first one.
+    SearchAnew(false);
     Place();
     return;
   }
@@ -330,20 +352,28 @@
   mAttempt.reset();
   ++mRefusals;
   mLastRefusal = request::RefusalName(aRefusal.reason);
-  mRetryAfter = aRefusal.retryAfter;
+  mRetryAfter = mRetryAfter.count() == 0 ? aRefusal.retryAfter
+                                         : std::min(mRetryAfter, aRefusal.retryAfter);
   common::boot_time now = mContext.process.Now();
   if (aRefusal.reason == request::refusal_reason::kUpstreamRefused && !MayRepeat()) {
     Reject("upstream_refused", kFirstRetryAfter);
     return;
   }
+  bool searches = !mFacts.key.has_value() && mBody.Whole();
   bool overloadedOwner =
     mFacts.key.has_value() && aRefusal.reason == request::refusal_reason::kOverloaded;
-  bool tryAgain = mRefusals <= kMaxRefusals && now + kLeastTime < mFacts.deadline &&
+  // The search itself ends when enough gates were asked.
+  bool tryAgain = (searches || mRefusals <= kMaxRefusals) && now + kLeastTime < mFacts.deadline &&
                   aRefusal.reason != request::refusal_reason::kCrashSuspect && !overloadedOwner;
   if (!tryAgain) {
     Reject(mLastRefusal.c_str(), std::max<common::microseconds>(mRetryAfter, kFirstRetryAfter));
     return;
   }
+  if (aRefusal.reason == request::refusal_reason::kBusy) {
+    mSearch.OnBusy(mTarget, aRefusal.retryAfter);
+  } else {
+    mSearch.OnRefused(mTarget);
+  }
   Place();
 }
 
@@ -359,7 +389,9 @@
     Release();
     return;
   }
-  mRelay.Discard();
+  if (!mHoldsAnswer) {
+    mRelay.Discard();
+  }
   mMayHaveRun = true;
   bool granted = mRepeatGranted;
   mRepeatGranted = false;
@@ -368,6 +400,7 @@
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [&] { return Describe("repeated", aFailure.reason); });
     mFacts.mapVersion = common::row_version();
+    SearchAnew(true);
     Place();
     return;
   }
@@ -415,6 +448,10 @@
 
 void entry_request::Reject(const char* aReason, common::microseconds aRetryAfter)
 {
+  if (mHoldsAnswer) {
+    DeliverHeldAnswer();
+    return;
+  }
   // An earlier attempt of an idempotent request may have run: nothing may be promised.
   if (mMayHaveRun) {
     Fail(kBadGateway, aReason);
@@ -434,8 +471,23 @@
   Respond(kUnavailable, std::move(head));
 }
 
+void entry_request::DeliverHeldAnswer()
+{
+  boost::intrusive_ptr<entry_request> self(this);
+  mContext.process.counters.Add("bamboograde_upstream_errors_total");
+  mContext.process.log.Write(line_class::kTrouble, "answered", [this] {
+    return Describe("answered", std::to_string(mRelay.Status()));
+  });
+  mRelay.OnEnd();
+  Release();
+}
+
 void entry_request::Fail(int aStatus, const std::string& aReason)
 {
+  if (mHoldsAnswer) {
+    DeliverHeldAnswer();
+    return;
+  }
   mContext.process.counters.Add(
     fmt::format("bamboograde_failures_total{{status=\"{}\"}}", aStatus));
   mContext.process.log.Write(line_class::kTrouble, "failed",
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -5,7 +5,7 @@
 #include "process/sidecar/peer_watch.h"
 #include "process/sidecar/request_body.h"
 #include "process/sidecar/response_relay.h"
-#include "request/placement.h"
+#include "request/placement_search.h"
 #include "request/shared_budget.h"
 
 #include <set>
@@ -48,9 +48,15 @@
   void Place();
   void PlaceKeyed(const version::key_map_ptr& aMap);
   void PlaceAnywhere();
+  // Daemons with an upstream of the request's service, and what placement knows of them.
+  std::vector<const version::member*>
+  FindCandidates(std::vector<request::placement_candidate>* aCandidates) const;
   void Begin(const version::member& aTarget);
   void WaitForOwner();
   bool MayRepeat();
+  // Looks for another upstream than the last one. aMayWait: also where no slot is free.
+  void SearchAnew(bool aMayWait);
+  void DeliverHeldAnswer();
   void OnDeadline();
   // Answers that the request has not run and will not.
   // As Reject, with the longest pause that callers keep to.
@@ -90,11 +96,13 @@
   bool mMayHaveRun = false;
   // Placements that ended without the request being sent.
   unsigned mRefusals = 0;
-  std::set<std::string> mTried;
+  request::placement_search mSearch;
   std::string mTarget;
   std::string mLastRefusal;
   common::microseconds mRetryAfter{ 0 };
   bool mPlaced = false;
+  // The whole answer of an upstream that failed the request, in case that no other one answers.
+  bool mHoldsAnswer = false;
   // A repeat has been taken from the budget ahead of the attempt's end.
   bool mRepeatGranted = false;
   boost::intrusive_ptr<entry_request> mSelf;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -145,7 +145,12 @@
 {
   common::boot_time now = mRuntime.Now();
   request::admission_decision decision =
-    mAdmission.Offer({ aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target }, now);
+    mAdmission.Offer(
+      { aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target, aFacts.onlyIfFree }, now);
+  if (decision.verdict == request::admission_verdict::kBusy) {
+    TurnAway(aClient, request::refusal_reason::kBusy, decision.expectedWait);
+    return;
+  }
   if (decision.verdict == request::admission_verdict::kReject) {
     TurnAway(aClient, request::refusal_reason::kOverloaded, decision.expectedWait);
     return;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -116,12 +116,16 @@
 {
   admission_decision decision;
   decision.ticket = ++mLastTicket;
-  NoteArrival(aRequest, aNow);
   if (mRunning.size() < mSlots && mWaiting.empty()) {
+    NoteArrival(aRequest, aNow);
     mRunning[decision.ticket] = { aRequest, aNow };
     decision.verdict = admission_verdict::kStart;
     return decision;
   }
+  // One that only asks may ask at several gates; it is counted where it stays.
+  if (!aRequest.onlyIfFree) {
+    NoteArrival(aRequest, aNow);
+  }
   common::microseconds usual = ServiceTime(aRequest.work);
   urgency urgent = UrgencyOf(aRequest);
   decision.expectedWait = ExpectedWait(urgent, aNow);
@@ -133,6 +137,10 @@
   if (!mayWait || !possible) {
     return decision;
   }
+  if (aRequest.onlyIfFree) {
+    decision.verdict = admission_verdict::kBusy;
+    return decision;
+  }
   order_key key{ urgent, decision.ticket };
   mWaiting[key] = { aRequest, {} };
   mWaitingKeys.emplace(decision.ticket, key);
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -34,12 +34,16 @@
   common::boot_time deadline;
   // Until when an answer has its full value.
   common::boot_time target;
+  // The request goes elsewhere rather than wait.
+  bool onlyIfFree = false;
 };
 
 enum class admission_verdict
 {
   kStart,
   kWait,
+  // It might wait, but asked for a free slot only.
+  kBusy,
   kReject,
 };
 
--- a/src/request/attempt.cpp
+++ b/src/request/attempt.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> kRefusalNames = { "overloaded",    "no_upstream",
-                                                            "not_owner",     "unreachable",
-                                                            "crash_suspect", "upstream_refused" };
+constexpr std::array<std::string_view, 7> kRefusalNames = {
+  "overloaded",    "no_upstream",      "not_owner", "unreachable",
+  "crash_suspect", "upstream_refused", "busy"
+};
 
 int64_t MicrosLeft(common::boot_time aDeadline, common::boot_time aNow)
 {
@@ -43,6 +44,9 @@
   if (aFacts.key.has_value()) {
     value["key"] = *aFacts.key;
   }
+  if (aFacts.onlyIfFree) {
+    value["only_if_free"] = true;
+  }
   return value;
 }
 
@@ -59,6 +63,7 @@
   facts.target = aNow + common::microseconds(GetSigned(aValue, "target_us"));
   facts.fingerprint = common::GetNumber(aValue, "fingerprint");
   facts.mapVersion = common::row_version(common::GetNumber(aValue, "map"));
+  facts.onlyIfFree = common::GetBool(aValue, "only_if_free");
   if (aValue.contains("key")) {
     facts.key = uint32_t(common::GetNumber(aValue, "key"));
   }
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -30,6 +30,8 @@
   uint64_t fingerprint = 0;
   // Version of the key map by which the upstream was chosen.
   common::row_version mapVersion;
+  // The request goes elsewhere rather than wait for a slot.
+  bool onlyIfFree = false;
 };
 
 // Why a request was not given to an upstream.
@@ -47,6 +49,8 @@
   kCrashSuspect,
   // The upstream said that it did not run the request.
   kUpstreamRefused,
+  // No slot is free, and the request asked for nothing else.
+  kBusy,
 };
 
 std::string_view RefusalName(refusal_reason aReason);
@@ -55,7 +59,7 @@
 struct attempt_refusal
 {
   refusal_reason reason = refusal_reason::kUnreachable;
-  // When trying again may succeed.
+  // When trying again may succeed; how long the request would wait, when the gate is busy.
   common::microseconds retryAfter{ 0 };
 };
 
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -21,6 +21,10 @@
 // Weight of the newest report in the smoothed use of an upstream.
 constexpr double kUseWeight = 0.05;
 constexpr common::milliseconds kRecent{ 2000 };
+// Weight of the newest question for a free slot.
+constexpr double kAskedWeight = 0.05;
+// Below this share of free gates, two questions find the shorter wait as well as six.
+constexpr double kRareShare = 0.15;
 // Assumed for an upstream that has not reported yet.
 constexpr common::microseconds kDefaultServiceTime{ 50000 };
 
@@ -146,4 +150,14 @@
   return found != mPeers.end() && found->second.avoidUntil > aNow;
 }
 
+void placement::OnAsked(bool aFree)
+{
+  mFreeShare += kAskedWeight * ((aFree ? 1.0 : 0.0) - mFreeShare);
+}
+
+bool placement::FreeIsRare() const
+{
+  return mFreeShare < kRareShare;
+}
+
 } // namespace bamboograde::request
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -60,6 +60,10 @@
   // The upstream could not be reached or failed; it is avoided for a while.
   void OnFailure(const std::string& aVm, common::boot_time aNow);
   void OnSuccess(const std::string& aVm);
+  // A gate was asked for a free slot, and had one or not.
+  void OnAsked(bool aFree);
+  // Few gates have a free slot, so asking many of them costs more than it finds.
+  bool FreeIsRare() const;
   // Share of its slots that the upstream had in use or asked for, over its last reports. Empty when
   // nothing was heard of it lately.
   std::optional<double> Use(const std::string& aVm, common::boot_time aNow) const;
@@ -81,6 +85,8 @@
 
   common::random_source& mRandom;
   std::unordered_map<std::string, peer_state> mPeers;
+  // Share of the questions for a free slot that found one, lately.
+  double mFreeShare = 1;
 };
 
 } // namespace bamboograde::request
--- a/tests/request/load_model.cpp
+++ b/tests/request/load_model.cpp
@@ -87,6 +87,7 @@
                     aCaller.firstAsked + kind.target },
                   mNow);
     switch (decision.verdict) {
+      case request::admission_verdict::kBusy:
       case request::admission_verdict::kReject:
         Reject(aCaller, decision.expectedWait);
         return;
--- /dev/null
+++ b/tests/request/placement_search_test.cpp
@@ -0,0 +1,164 @@
+#include "request/placement_search.h"
+
+#include "request/fleet_model.h"
+
+#include <criterion/criterion.h>
+#include <criterion/logging.h>
+
+using namespace bamboograde;
+using common::milliseconds;
+using request::distance;
+using tests::fleet_outcome;
+using tests::fleet_pattern;
+using tests::fleet_policy;
+
+namespace {
+
+const common::boot_time kNow{ common::seconds(1000) };
+
+// 24 upstreams of unequal speed in four zones, and 72 daemons that send to them.
+fleet_pattern Fleet(double aLoad)
+{
+  fleet_pattern pattern;
+  pattern.entries = 72;
+  pattern.zones = 4;
+  double capacity = 0;
+  for (int i = 0; i < 24; ++i) {
+    constexpr double kSpeeds[] = { 0.5, 1.0, 1.0, 1.5 };
+    pattern.speeds.push_back(kSpeeds[(i / 4) % 4]);
+    capacity += pattern.speeds.back();
+  }
+  pattern.slots = 6;
+  pattern.work = milliseconds(200);
+  pattern.target = milliseconds(600);
+  pattern.deadline = milliseconds(1200);
+  pattern.length = milliseconds(20000);
+  pattern.perSecond = aLoad * capacity * pattern.slots / 0.2;
+  return pattern;
+}
+
+double Share(unsigned aPart, const fleet_outcome& aOutcome)
+{
+  return double(aPart) / double(aOutcome.asked);
+}
+
+void Print(const char* aName, const fleet_outcome& aOutcome)
+{
+  cr_log_info("%s: in target %.3f late %.3f rejected %.3f other zone %.3f use %.2f to %.2f", aName,
+              Share(aOutcome.inTarget, aOutcome), Share(aOutcome.late, aOutcome),
+              Share(aOutcome.rejected, aOutcome), Share(aOutcome.otherZone, aOutcome),
+              aOutcome.lowestUse, aOutcome.highestUse);
+}
+
+} // namespace
+
+Test(placement_search, asks_near_gates_for_a_free_slot_before_far_ones_and_then_waits)
+{
+  common::seeded_random random(1);
+  request::placement placement(random);
+  request::placement_search search(placement);
+  std::vector<request::placement_candidate> candidates = { { "far", distance::kOtherZone, 6 },
+                                                           { "near", distance::kSameZone, 6 } };
+  auto step = search.Next(candidates, kNow);
+  cr_assert(step->index == 1 && step->onlyIfFree);
+  search.OnBusy("near", milliseconds(90));
+  step = search.Next(candidates, kNow);
+  cr_assert(step->index == 0 && step->onlyIfFree);
+  search.OnBusy("far", milliseconds(40));
+  step = search.Next(candidates, kNow);
+  cr_assert(step->index == 0 && !step->onlyIfFree);
+  search.OnRefused("far");
+  step = search.Next(candidates, kNow);
+  cr_assert(step->index == 1 && !step->onlyIfFree);
+  search.OnRefused("near");
+  cr_assert_not(search.Next(candidates, kNow).has_value());
+}
+
+Test(placement_search, does_not_wait_where_a_gate_has_refused)
+{
+  common::seeded_random random(2);
+  request::placement placement(random);
+  request::placement_search search(placement);
+  std::vector<request::placement_candidate> candidates = { { "a", distance::kSameZone, 6 } };
+  cr_assert(search.Next(candidates, kNow).has_value());
+  search.OnRefused("a");
+  cr_assert_not(search.Next(candidates, kNow).has_value());
+}
+
+Test(placement_search, uses_an_avoided_gate_when_there_is_no_other)
+{
+  common::seeded_random random(3);
+  request::placement placement(random);
+  placement.OnFailure("a", kNow);
+  request::placement_search search(placement);
+  std::vector<request::placement_candidate> candidates = { { "a", distance::kSameZone, 6 } };
+  auto step = search.Next(candidates, kNow);
+  cr_assert(step.has_value() && step->index == 0);
+}
+
+// Nearly full, with reports that are mostly older than a request lasts.
+Test(placement_search, serves_more_in_target_than_placing_by_reports_when_nearly_full)
+{
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    fleet_outcome random = ReplayFleet(Fleet(0.92), fleet_policy::kRandom, seed);
+    fleet_outcome reports = ReplayFleet(Fleet(0.92), fleet_policy::kByReports, seed);
+    fleet_outcome search = ReplayFleet(Fleet(0.92), fleet_policy::kSearch, seed);
+    Print("random ", random);
+    Print("reports", reports);
+    Print("search ", search);
+    cr_assert_gt(Share(search.inTarget, search), Share(reports.inTarget, reports));
+    cr_assert_geq(Share(search.inTarget, search), 0.95);
+  }
+}
+
+Test(placement_search, stays_in_the_zone_while_that_has_free_slots)
+{
+  fleet_outcome search = ReplayFleet(Fleet(0.5), fleet_policy::kSearch, 7);
+  Print("search ", search);
+  cr_assert_leq(Share(search.otherZone, search), 0.02);
+  cr_assert_geq(Share(search.inTarget, search), 0.98);
+}
+
+Test(placement_search, serves_as_much_as_the_upstreams_can_beyond_their_capacity)
+{
+  fleet_outcome search = ReplayFleet(Fleet(1.5), fleet_policy::kSearch, 9);
+  Print("search ", search);
+  cr_assert_geq(Share(search.inTarget + search.late, search), 0.95 / 1.5);
+}
+
+Test(placement_search, asks_few_gates_while_hardly_any_has_a_free_slot)
+{
+  common::seeded_random random(4);
+  request::placement placement(random);
+  for (int i = 0; i < 100; ++i) {
+    placement.OnAsked(false);
+  }
+  std::vector<request::placement_candidate> candidates;
+  for (int i = 0; i < 8; ++i) {
+    candidates.push_back({ std::to_string(i), distance::kSameZone, 6 });
+  }
+  request::placement_search search(placement);
+  unsigned questions = 0;
+  for (auto step = search.Next(candidates, kNow); step->onlyIfFree;
+       step = search.Next(candidates, kNow)) {
+    ++questions;
+    search.OnBusy(candidates[step->index].vm, milliseconds(10));
+  }
+  cr_assert_eq(questions, 2U);
+}
+
+// A second try waits nowhere, so that it does not take the place of a first one.
+Test(placement_search, a_search_that_may_not_wait_ends_when_no_slot_is_free)
+{
+  common::seeded_random random(5);
+  request::placement placement(random);
+  request::placement_search search(placement);
+  std::vector<request::placement_candidate> candidates = { { "a", distance::kSameZone, 6 },
+                                                           { "b", distance::kSameZone, 6 } };
+  search.OnRefused("a");
+  search.Restart(false);
+  auto step = search.Next(candidates, kNow);
+  cr_assert(step->index == 1 && step->onlyIfFree);
+  search.OnBusy("b", milliseconds(10));
+  cr_assert_not(search.Next(candidates, kNow).has_value());
+}
