Let keys wait less when they change hands

Cause: a range that was to move was held back from the decision on, though its upstream went on holding it until its next announcement (up to 870 or 1,500 ms), and the new owner waited for its own upstream's next announcement after the commit. Change: a range is held back only from the answer that leaves it out; the new owner is told when a move begins, and answers an announcement that comes meanwhile up to 700 ms later, with the keys. Ruled out: granting without an announcement (the hold counts from when it was sent); waiting longer (an answer after a second counts as none).

--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -14,6 +14,10 @@
 constexpr common::milliseconds kLeastHold{ 100 };
 // The acknowledgement reaches the upstream before requests for newly granted keys do.
 constexpr common::milliseconds kAcknowledgeTime{ 3 };
+constexpr common::milliseconds kTellTimeout{ 500 };
+// From the answer that leaves keys out to the commit of their handover: the upstream finishes what
+// it runs, and announces within 100 ms that it has let go.
+constexpr common::milliseconds kReleaseTime{ 500 };
 // How long the owners of a service must be the same before its keys are divided for the first time.
 constexpr common::milliseconds kSettleTime{ 1200 };
 constexpr common::milliseconds kRetryJoin{ 200 };
@@ -124,7 +128,7 @@
   return kept.ranges;
 }
 
-std::optional<grant> key_holder::OnAnnouncement(const announcement& aAnnouncement)
+void key_holder::OnAnnouncement(const announcement& aAnnouncement)
 {
   version::upstream_id incarnation = StartOf(aAnnouncement);
   if (incarnation != mIncarnation) {
@@ -137,7 +141,7 @@
     mLeaving = false;
   }
   if (!Keyed()) {
-    return std::nullopt;
+    return;
   }
   if (aAnnouncement.leaving) {
     BeginLeaving();
@@ -145,6 +149,12 @@
   NoteReleases(aAnnouncement);
   if (!Joined()) {
     Tick();
+  }
+}
+
+std::optional<grant> key_holder::Grant(common::boot_time aHeardAt)
+{
+  if (!Keyed() || !Joined()) {
     return std::nullopt;
   }
   common::boot_time now = mRuntime.Now();
@@ -158,8 +168,13 @@
     return std::nullopt;
   }
   grant given{ Granted(), hold };
+  // From now on the upstream lets go of what departs.
+  for (departure& item : mDepartures) {
+    item.leftOut = true;
+  }
+  PublishHeldBack();
   common::boot_time end =
-    now +
+    aHeardAt +
     common::microseconds(int64_t(double(common::microseconds(hold).count()) * (1 + kClockSlack)));
   mGrantEnd = std::max(mGrantEnd, end);
   // Not what is owned when the timer fires: the map may change before.
@@ -492,7 +507,7 @@
 void key_holder::Depart(std::vector<version::key_assignment> aPlan, const char* aCause)
 {
   for (const version::key_assignment& part : aPlan) {
-    mDepartures.push_back({ part.range, part.vm, "", false });
+    mDepartures.push_back({ part.range, part.vm, "" });
   }
   mRuntime.counters.Add("bamboograde_key_moves_total");
   mRuntime.log.Write(line_class::kState, "keys_departing", [&] {
@@ -504,14 +519,35 @@
                          { "parts", std::move(parts) },
                          { "map", Map()->version.Value() } };
   });
-  PublishHeldBack();
+  TellTargets();
+}
+
+// Tells the targets that keys are on their way.
+void key_holder::TellTargets()
+{
+  std::set<std::string> told;
+  for (const departure& item : mDepartures) {
+    const version::member* target = mRuntime.fleet.Members().Find(item.target);
+    if (target != nullptr && told.insert(item.target).second) {
+      mMessenger.Send(target->control, kArrivingPath, common::json::object(),
+                      mRuntime.Now() + kTellTimeout, [](const common::result<common::json>&) {});
+    }
+  }
+}
+
+common::json key_holder::OnArriving()
+{
+  mArrivalUntil = mRuntime.Now() + mRuntime.settings.announcePeriod + kReleaseTime;
+  return common::json::object();
 }
 
 void key_holder::PublishHeldBack()
 {
   std::vector<version::key_range> ranges;
   for (const departure& item : mDepartures) {
-    ranges.push_back(item.range);
+    if (item.leftOut || item.released) {
+      ranges.push_back(item.range);
+    }
   }
   mGate.HoldBack(std::move(ranges));
 }
@@ -535,12 +571,12 @@
       if (Overlap(part.range, item.range)) {
         version::key_range cut = { std::max(part.range.first, item.range.first),
                                    std::min(part.range.last, item.range.last) };
-        pieces.push_back({ cut, item.target, part.handover, true });
+        pieces.push_back({ cut, item.target, part.handover, true, item.leftOut });
         version::TakeRange(&rest, cut);
       }
     }
     for (const version::held_range& left : rest.ranges) {
-      pieces.push_back({ left.range, item.target, "", true });
+      pieces.push_back({ left.range, item.target, "", true, item.leftOut });
     }
   }
   mDepartures = std::move(pieces);
@@ -607,6 +643,15 @@
     mKnownOwners = owners;
     mOwnersChangedAt = mRuntime.Now();
   }
+  const version::key_owner* own = Own();
+  std::vector<version::held_range> owned =
+    own == nullptr ? std::vector<version::held_range>() : own->ranges;
+  bool changed = owned != mOwnedRanges;
+  mOwnedRanges = std::move(owned);
+  if (changed && ExpectsKeys() && mOnArrival) {
+    mArrivalUntil = {};
+    mOnArrival();
+  }
   // Ranges that are no longer owned here have departed, whoever committed it.
   std::erase_if(mDepartures, [&](const departure& aItem) {
     const version::key_owner* owner = map->Find(aItem.range.first);
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -11,8 +11,12 @@
 #include "process/sidecar/upstream_gate.h"
 #include "version/key_plan.h"
 
+#include <set>
+
 namespace bamboograde::process::sidecar {
 
+constexpr char kArrivingPath[] = "/control/keys/arriving";
+
 // Times of leases and grants, from the period of the upstream's announcements.
 lease::lease_terms LeaseTermsFor(common::milliseconds aAnnouncePeriod);
 common::milliseconds HoldTimeFor(common::milliseconds aAnnouncePeriod);
@@ -23,8 +27,17 @@
   key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
              upstream_gate& aGate, request::placement& aPlacement, common::boot_id aBoot);
 
-  // What the upstream is to hold, in answer to an announcement; empty when nothing can be promised.
-  std::optional<grant> OnAnnouncement(const announcement& aAnnouncement);
+  void OnAnnouncement(const announcement& aAnnouncement);
+  // What the upstream is to hold, in answer to an announcement that was heard at the given time;
+  // empty when nothing can be promised.
+  std::optional<grant> Grant(common::boot_time aHeardAt);
+  // Another owner is about to hand keys over to this one: an answer that waits a little can grant
+  // them already.
+  bool ExpectsKeys() const { return mRuntime.Now() < mArrivalUntil; }
+  // The answer to the message of an owner that hands keys over.
+  common::json OnArriving();
+  // Called when keys have arrived.
+  void SetArrivalObserver(std::function<void()> aObserver) { mOnArrival = std::move(aObserver); }
   // The upstream or the daemon stops: everything is handed over.
   void BeginLeaving();
   // Owns no keys any more, or never did.
@@ -41,6 +54,8 @@
     std::string target;
     std::string handover;
     bool released = false;
+    // The last answer to the upstream has left the range out.
+    bool leftOut = false;
   };
 
   bool Keyed() const;
@@ -64,6 +79,7 @@
   void CommitDepartures();
   void FinishDepartures();
   void PublishHeldBack();
+  void TellTargets();
   std::vector<version::held_range> Granted() const;
 
   runtime& mRuntime;
@@ -97,6 +113,10 @@
   // What the last acknowledgement has granted.
   std::vector<version::held_range> mAcknowledged;
   connection::http::loop_timer mKeysTimer;
+  common::boot_time mArrivalUntil;
+  std::function<void()> mOnArrival;
+  // What this daemon owned when the map last changed.
+  std::vector<version::held_range> mOwnedRanges;
 };
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -115,6 +115,8 @@
       answer = mSidecar.mGossip.OnCompare(body.assume_value());
     } else if (path == kExchangePath) {
       answer = mSidecar.mGossip.OnExchange(body.assume_value());
+    } else if (path == kArrivingPath) {
+      answer = mSidecar.mKeys.OnArriving();
     } else if (path == kRenewPath) {
       answer = mSidecar.mTakeover.OnRenew(body.assume_value());
     } else if (path == kRevokePath) {
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -9,6 +9,9 @@
 constexpr int kNotFound = 404;
 // An upstream that has been silent for this many of its periods, and a bit, is taken as gone.
 constexpr int kSilentPeriods = 3;
+// An answer that waits for keys is sent after this time at the latest. Upstreams take an answer that
+// arrives later than a second as none.
+constexpr common::milliseconds kLongestWait{ 700 };
 constexpr size_t kMaxAnnouncement = size_t(256) * 1024;
 
 void Answer(const connection::http::server_exchange_ptr& aExchange, int aStatus,
@@ -80,7 +83,9 @@
   , mGate(aGate)
   , mKeys(aKeys)
   , mOnChange(std::move(aOnChange))
+  , mWaitTimer(aRuntime.loop, [this] { AcknowledgeWaiting(); })
 {
+  mKeys.SetArrivalObserver([this] { mWaitTimer.Arm(mRuntime.Now()); });
 }
 
 connection::http::caller_limits upstream_registry::Limits() const
@@ -148,6 +153,7 @@
   bool wasReady = mState == version::upstream_state::kReady;
   bool left = !started && mState == version::upstream_state::kLeaving;
   bool changed = started || heard.slots != mCurrent.slots;
+  AcknowledgeWaiting();
   mCurrent = heard;
   mHeardAt = mRuntime.Now();
   if (started) {
@@ -166,13 +172,40 @@
   } else {
     mGate.OnUpstreamUpdated(heard);
   }
-  Answer(aExchange, kOk, mCodec.EncodeAcknowledgement(mKeys.OnAnnouncement(heard)));
+  mKeys.OnAnnouncement(heard);
+  // One that leaves, or has let go of keys, must not wait.
+  Acknowledge(aExchange, !leaving && heard.released.empty());
   SetState(leaving ? version::upstream_state::kLeaving : version::upstream_state::kReady);
   if (changed && wasReady) {
     mOnChange();
   }
 }
 
+void upstream_registry::Acknowledge(const connection::http::server_exchange_ptr& aExchange,
+                                    bool aMayWait)
+{
+  if (aMayWait && mKeys.ExpectsKeys()) {
+    mWaiting = aExchange;
+    mWaitingHeardAt = mHeardAt;
+    mWaitTimer.Arm(mHeardAt + kLongestWait);
+    return;
+  }
+  Answer(aExchange, kOk, mCodec.EncodeAcknowledgement(mKeys.Grant(mHeardAt)));
+}
+
+void upstream_registry::AcknowledgeWaiting()
+{
+  if (mWaiting == nullptr) {
+    return;
+  }
+  connection::http::server_exchange_ptr exchange = std::move(mWaiting);
+  mWaiting.reset();
+  mWaitTimer.Cancel();
+  if (!exchange->CallerGone()) {
+    Answer(exchange, kOk, mCodec.EncodeAcknowledgement(mKeys.Grant(mWaitingHeardAt)));
+  }
+}
+
 void upstream_registry::OnGoodbye(const version::upstream_id& aId,
                                   const connection::http::server_exchange_ptr& aExchange)
 {
@@ -182,6 +215,7 @@
   }
   mGate.OnUpstreamLeaving();
   mKeys.BeginLeaving();
+  AcknowledgeWaiting();
   SetState(version::upstream_state::kLeaving);
 }
 
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -32,6 +32,10 @@
                       const connection::http::server_exchange_ptr& aExchange);
   void OnGoodbye(const version::upstream_id& aId,
                  const connection::http::server_exchange_ptr& aExchange);
+  // Answers an announcement with the keys to hold; waits a little for keys that are on their way.
+  void Acknowledge(const connection::http::server_exchange_ptr& aExchange, bool aMayWait);
+  // Answers the announcement that waits, if one does.
+  void AcknowledgeWaiting();
   void SetState(version::upstream_state aState);
   bool IsStale(const announcement& aAnnouncement) const;
 
@@ -43,6 +47,10 @@
   version::upstream_state mState = version::upstream_state::kAbsent;
   announcement mCurrent;
   common::boot_time mHeardAt;
+  // An announcement whose answer waits for keys.
+  connection::http::server_exchange_ptr mWaiting;
+  common::boot_time mWaitingHeardAt;
+  connection::http::loop_timer mWaitTimer;
 };
 
 } // namespace bamboograde::process::sidecar
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <sys/prctl.h>
@@ -14,10 +15,24 @@
 
 // The service that is divided by key.
 constexpr char kKeyedService[] = "keyed";
-constexpr char kTableAddress[] = "127.0.9.9:7999";
-constexpr common::milliseconds kAnnouncePeriod{ 100 };
+// Fleets that run at the same time need networks of their own.
+constexpr char kNetworkVariable[] = "BAMBOOGRADE_TEST_NETWORK";
+// A folder for the daemons' logs; without it they are dropped.
+constexpr char kLogVariable[] = "BAMBOOGRADE_TEST_LOGS";
+constexpr char kDefaultNetwork[] = "127.0.9";
 constexpr common::milliseconds kPatience{ 2000 };
 
+std::string Network()
+{
+  const char* named = std::getenv(kNetworkVariable);
+  return named == nullptr ? kDefaultNetwork : named;
+}
+
+std::string TableAddress()
+{
+  return Network() + ".9:7999";
+}
+
 common::json Route(const std::string& aPrefix, const std::string& aKind,
                    const std::string& aService)
 {
@@ -46,10 +61,12 @@
 } // namespace
 
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
-                   const std::string& aService, fleet_record& aRecord)
-  : mVm("127.0.9." + std::to_string(aNumber))
+                   const std::string& aService, common::milliseconds aAnnouncePeriod,
+                   fleet_record& aRecord)
+  : mVm(Network() + "." + std::to_string(aNumber))
   , mService(aService)
   , mNumber(aNumber)
+  , mAnnouncePeriod(aAnnouncePeriod)
   , mSettingsPath("/tmp/bamboograde-fleet-" + std::to_string(getpid()) + "-" +
                   std::to_string(aNumber) + ".yaml")
 {
@@ -58,7 +75,7 @@
   plan.service = aService;
   plan.address = common::endpoint(mVm + ":7000");
   plan.daemon = common::endpoint(mVm + ":7005");
-  plan.announcePeriod = kAnnouncePeriod;
+  plan.announcePeriod = aAnnouncePeriod;
   upstream = std::make_unique<upstream_standin>(aLoop, plan, aRecord);
   cr_assert(upstream->Start().has_value());
   WriteSettings();
@@ -75,8 +92,8 @@
 {
   std::ofstream(mSettingsPath) << "vm: " << mVm << "\nzone: zone" << mNumber % 3
                                << "\nservice: " << mService << "\nupstream: " << mVm << ":7000"
-                               << "\nplatform: " << kTableAddress
-                               << "\nannounce_period_ms: " << kAnnouncePeriod.count()
+                               << "\nplatform: " << TableAddress()
+                               << "\nannounce_period_ms: " << mAnnouncePeriod.count()
                                << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
                                << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
                                << ":7004\n  announcements: " << mVm
@@ -90,7 +107,9 @@
   if (mDaemon == 0) {
     // The daemon ends with the test, also when that fails.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int silent = open("/dev/null", O_WRONLY);
+    const char* logs = std::getenv(kLogVariable);
+    std::string log = logs == nullptr ? "/dev/null" : logs + ("/" + mVm + ".log");
+    int silent = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(silent, STDOUT_FILENO);
     execl(BAMBOOGRADE_SIDECAR, BAMBOOGRADE_SIDECAR, settings.c_str(), nullptr);
     _exit(127);
@@ -112,6 +131,16 @@
   kill(mDaemon, SIGTERM);
 }
 
+void fleet_vm::PauseDaemon()
+{
+  kill(mDaemon, SIGSTOP);
+}
+
+void fleet_vm::ResumeDaemon()
+{
+  kill(mDaemon, SIGCONT);
+}
+
 bool fleet_vm::DaemonEnded()
 {
   int status = 0;
@@ -122,15 +151,16 @@
   return mDaemon < 0;
 }
 
-fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices)
+fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices,
+                             common::milliseconds aAnnouncePeriod)
   : table(loop)
   , mClients(loop)
 {
-  cr_assert(table.Listen(common::endpoint(kTableAddress)).has_value());
+  cr_assert(table.Listen(common::endpoint(TableAddress())).has_value());
   Configure(1);
   unsigned number = 0;
   for (const std::string& service : aServices) {
-    vms.push_back(std::make_unique<fleet_vm>(loop, ++number, service, record));
+    vms.push_back(std::make_unique<fleet_vm>(loop, ++number, service, aAnnouncePeriod, record));
   }
 }
 
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -14,7 +14,7 @@
 {
 public:
   fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber, const std::string& aService,
-           fleet_record& aRecord);
+           common::milliseconds aAnnouncePeriod, fleet_record& aRecord);
   ~fleet_vm();
   fleet_vm(const fleet_vm&) = delete;
   fleet_vm& operator=(const fleet_vm&) = delete;
@@ -23,6 +23,9 @@
   void KillDaemon();
   // SIGTERM; the process ends by itself.
   void StopDaemon();
+  // SIGSTOP and SIGCONT.
+  void PauseDaemon();
+  void ResumeDaemon();
   // Whether the process has ended; collects it.
   bool DaemonEnded();
 
@@ -36,6 +39,7 @@
   std::string mVm;
   std::string mService;
   unsigned mNumber;
+  common::milliseconds mAnnouncePeriod;
   std::string mSettingsPath;
   pid_t mDaemon = -1;
 };
@@ -50,7 +54,8 @@
 {
 public:
   // aServices: the service of each VM.
-  explicit fleet_fixture(const std::vector<std::string>& aServices);
+  explicit fleet_fixture(const std::vector<std::string>& aServices,
+                         common::milliseconds aAnnouncePeriod = common::milliseconds(100));
   void RunFor(common::milliseconds aTime);
   // Runs until the condition holds; fails the test when it does not in time.
   void RunUntil(const std::function<bool()>& aCondition, common::milliseconds aMost,
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -69,6 +69,18 @@
   cr_assert_leq(fleet.record.runs[fleet.LastId()], 2U);
 }
 
+// The upstream's own answer says more than one that replaces it.
+Test(fleet, an_upstreams_failure_is_passed_on_when_no_other_upstream_can_run_the_request)
+{
+  fleet_fixture fleet({ "keyed", "plain" });
+  WaitForKeys(fleet);
+  fleet.vms[1]->upstream->FailRequests(1);
+  fleet_answer answer = fleet.Ask(0, "GET", "/plain/x");
+  cr_assert_eq(answer.status, 500);
+  cr_assert(answer.body == "answer to " + fleet.LastId());
+  cr_assert_eq(fleet.Ask(0, "GET", "/plain/x").status, 200);
+}
+
 Test(fleet, a_route_is_in_force_everywhere_soon_after_it_is_stored)
 {
   fleet_fixture fleet(kServices);
@@ -159,6 +171,23 @@
   cr_assert(Serves(fleet, 4, 100));
 }
 
+// An owner to which keys are on their way answers its upstream's announcement when they have arrived,
+// instead of letting them wait for the next one. The upstreams announce themselves at nearly the
+// same times, in order of their VMs; the last one's keys would wait for a whole period.
+Test(fleet, handed_over_keys_do_not_wait_for_the_next_announcement)
+{
+  constexpr common::milliseconds kPeriod{ 900 };
+  constexpr common::milliseconds kHandoverTime{ 450 };
+  fleet_fixture fleet(kServices, kPeriod);
+  WaitForKeys(fleet);
+  size_t leaving = HolderOf(fleet, 65535);
+  cr_assert_eq(leaving, 2U);
+  fleet.vms[leaving]->StopDaemon();
+  fleet.RunUntil([&] { return fleet.vms[leaving]->upstream->HeldKeys() == 0; }, kPeriod * 2,
+                 "the release");
+  fleet.RunUntil([&fleet] { return fleet.WholeSpaceHeld(); }, kHandoverTime, "the new grant");
+}
+
 Test(fleet, a_stopping_daemon_hands_over_and_ends_within_its_grace_time)
 {
   fleet_fixture fleet(kServices);
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -11,6 +11,8 @@
 using connection::http::server_exchange_ptr;
 
 constexpr common::milliseconds kAcknowledgeTime{ 1000 };
+// An upstream that has let go of keys announces itself again within this time.
+constexpr common::milliseconds kReleasePause{ 100 };
 constexpr int64_t kFirstLife = 1700000000000;
 
 std::string HeaderOf(const server_exchange_ptr& aExchange, const char* aName)
@@ -165,7 +167,7 @@
     }
   }
   if (!mReleased.empty()) {
-    mTimer.Arm(mLoop.Now() + mPlan.announcePeriod / 4);
+    mTimer.Arm(mLoop.Now() + std::min<common::milliseconds>(mPlan.announcePeriod / 4, kReleasePause));
   }
 }
 
@@ -208,7 +210,8 @@
     return;
   }
   connection::http::response_head head;
-  head.status = 200;
+  head.status = mFailures > 0 ? 500 : 200;
+  mFailures -= mFailures > 0 ? 1 : 0;
   head.headers.Add("X-Bamboograde-Request-Id", aId);
   head.headers.Add("X-Bamboograde-Server-Stamp", mPlan.vm);
   aExchange->Respond(head, "answer to " + aId);
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -49,6 +49,8 @@
   void Leave() { mLeaving = true; }
   // Breaks off the answers of the next requests after running them.
   void LoseAnswers(unsigned aCount) { mLostAnswers = aCount; }
+  // Answers the next requests with 500.
+  void FailRequests(unsigned aCount) { mFailures = aCount; }
   bool Holds(uint32_t aKey) const;
   size_t HeldKeys() const;
   const std::string& Vm() const { return mPlan.vm; }
@@ -74,6 +76,7 @@
   common::json mReleased = common::json::array();
   unsigned mRunning = 0;
   unsigned mLostAnswers = 0;
+  unsigned mFailures = 0;
   uint64_t mSequence = 0;
   uint64_t mLife = 0;
   bool mLeaving = false;
