Avoid daemons that can not be reached until they show a sign of life

Ruled out: fewer tries alone (they would still wait 300 ms, and requests of sound daemons would find fewer gates). Change: a daemon that accepts no connection is asked for a sign of life until it gives one, and no request tries it meanwhile; a record that a daemon makes of itself ends its avoidance; a request for which every gate is avoided is rejected at once.

--- a/src/process/sidecar/change_broadcast.cpp
+++ b/src/process/sidecar/change_broadcast.cpp
@@ -29,8 +29,7 @@
   SendEverywhere(body, {});
 }
 
-void change_broadcast::SpreadKeyMap(const version::key_map* aBefore,
-                                    const version::key_map& aAfter)
+void change_broadcast::SpreadKeyMap(const version::key_map* aBefore, const version::key_map& aAfter)
 {
   common::json delta = version::EncodeKeyMapDelta(aBefore, aAfter);
   vm_set concerned;
--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -185,8 +185,8 @@
   Begin(*target);
 }
 
-std::vector<const version::member*>
-entry_request::FindCandidates(std::vector<request::placement_candidate>* aCandidates) const
+std::vector<const version::member*> entry_request::FindCandidates(
+  std::vector<request::placement_candidate>* aCandidates) const
 {
   const sidecar_settings& settings = mContext.process.settings;
   std::vector<const version::member*> members;
@@ -213,8 +213,11 @@
   mContext.placement.OnReport(mContext.process.settings.vm, mContext.gate.Load(), now);
   auto step = mSearch.Next(candidates, now);
   if (!step.has_value()) {
-    Reject(mLastRefusal.empty() ? "no_upstream" : mLastRefusal.c_str(),
-           std::max<common::microseconds>(mRetryAfter, kFirstRetryAfter));
+    if (mLastRefusal.empty()) {
+      RejectLater(candidates.empty() ? "no_upstream" : "unreachable");
+      return;
+    }
+    Reject(mLastRefusal.c_str(), std::max<common::microseconds>(mRetryAfter, kFirstRetryAfter));
     return;
   }
   // A body that is not kept can not be offered to a second gate.
@@ -352,8 +355,8 @@
   mAttempt.reset();
   ++mRefusals;
   mLastRefusal = request::RefusalName(aRefusal.reason);
-  mRetryAfter = mRetryAfter.count() == 0 ? aRefusal.retryAfter
-                                         : std::min(mRetryAfter, aRefusal.retryAfter);
+  mRetryAfter =
+    mRetryAfter.count() == 0 ? aRefusal.retryAfter : std::min(mRetryAfter, aRefusal.retryAfter);
   common::boot_time now = mContext.process.Now();
   if (aRefusal.reason == request::refusal_reason::kUpstreamRefused && !MayRepeat()) {
     Reject("upstream_refused", kFirstRetryAfter);
@@ -416,8 +419,8 @@
 {
   // The owner of a key is the only one that could answer, and a daemon that stops finishes what is
   // in flight.
-  mRepeatGranted = !mContext.stopping && !mFacts.key.has_value() && !mRelay.Started() &&
-                   MayRepeat();
+  mRepeatGranted =
+    !mContext.stopping && !mFacts.key.has_value() && !mRelay.Started() && MayRepeat();
   return mRepeatGranted;
 }
 
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -49,8 +49,8 @@
   void PlaceKeyed(const version::key_map_ptr& aMap);
   void PlaceAnywhere();
   // Daemons with an upstream of the request's service, and what placement knows of them.
-  std::vector<const version::member*>
-  FindCandidates(std::vector<request::placement_candidate>* aCandidates) const;
+  std::vector<const version::member*> FindCandidates(
+    std::vector<request::placement_candidate>* aCandidates) const;
   void Begin(const version::member& aTarget);
   void WaitForOwner();
   bool MayRepeat();
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -74,8 +74,7 @@
 }
 
 key_holder::key_holder(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
-                       upstream_gate& aGate, request::placement& aPlacement,
-                       common::boot_id aBoot)
+                       upstream_gate& aGate, request::placement& aPlacement, common::boot_id aBoot)
   : mRuntime(aRuntime)
   , mEditor(aEditor)
   , mMessenger(aMessenger)
@@ -260,8 +259,8 @@
     },
     [this, session, witnesses](edit_outcome aOutcome) {
       if (aOutcome == edit_outcome::kConflict) {
-        mJoinAt = mRuntime.Now() +
-                  common::milliseconds(int64_t(mRuntime.random.Below(kConflictJitterMs)));
+        mJoinAt =
+          mRuntime.Now() + common::milliseconds(int64_t(mRuntime.random.Below(kConflictJitterMs)));
       }
       if (aOutcome != edit_outcome::kCommitted) {
         return;
@@ -492,8 +491,7 @@
   if (!Joined() || !mDepartures.empty() || Empty()) {
     return;
   }
-  std::vector<version::heir> heirs =
-    FewHeirs(mRuntime, mPlacement, *Map(), mRuntime.settings.vm);
+  std::vector<version::heir> heirs = FewHeirs(mRuntime, mPlacement, *Map(), mRuntime.settings.vm);
   if (heirs.empty()) {
     return;
   }
--- a/src/process/sidecar/key_takeover.h
+++ b/src/process/sidecar/key_takeover.h
@@ -18,8 +18,7 @@
 {
 public:
   key_takeover(runtime& aRuntime, connection::platform_store& aStore, key_map_editor& aEditor,
-               peer_messenger& aMessenger, request::placement& aPlacement,
-               common::boot_id aBoot);
+               peer_messenger& aMessenger, request::placement& aPlacement, common::boot_id aBoot);
   // Call every few dozen milliseconds.
   void Tick();
   // Answers to other daemons' messages.
--- a/src/process/sidecar/peer_watch.cpp
+++ b/src/process/sidecar/peer_watch.cpp
@@ -49,6 +49,12 @@
   mPeers[aVm].clients.erase(aClient);
 }
 
+void peer_watch::OnUnreachable(const version::member& aPeer)
+{
+  mPeers[aPeer.vm].control = aPeer.control;
+  OnSilence(aPeer.vm);
+}
+
 void peer_watch::Tick()
 {
   common::boot_time now = mRuntime.Now();
@@ -65,7 +71,8 @@
   common::boot_time now = mRuntime.Now();
   aPeer.asking = true;
   aPeer.askAt = now + kAskAgain;
-  mMessenger.Send(aPeer.control, kPingPath, common::json::object(), now + mHealth.Stretch(kPingTimeout),
+  mMessenger.Send(aPeer.control, kPingPath, common::json::object(),
+                  now + mHealth.Stretch(kPingTimeout),
                   [this, aVm](const common::result<common::json>& aAnswer) {
                     mPeers[aVm].asking = false;
                     if (aAnswer.has_value()) {
--- a/src/process/sidecar/peer_watch.h
+++ b/src/process/sidecar/peer_watch.h
@@ -1,8 +1,8 @@
 // Notices daemons that have fallen silent while they owe answers: frozen, cut off or without power.
 //
-// A daemon that owes an answer and has sent nothing for a while is asked for a sign of life on its
-// control address. Without one it is avoided, and requests that may run again are sent elsewhere;
-// it is asked again until it answers.
+// A daemon that owes an answer and has sent nothing for a while, or accepts no connection, is asked
+// for a sign of life on its control address. Without one it is avoided, and requests that may run
+// again are sent elsewhere; it is asked again until it answers, so that no request has to try.
 #pragma once
 
 #include "process/sidecar/local_health.h"
@@ -32,6 +32,8 @@
   // Anything has arrived from the daemon.
   void OnHeard(const std::string& aVm);
   void OnEnded(const std::string& aVm, peer_client* aClient);
+  // The daemon accepts no connection: it is avoided until it shows a sign of life.
+  void OnUnreachable(const version::member& aPeer);
   // Call every few dozen milliseconds.
   void Tick();
 
--- a/src/process/sidecar/remote_attempt.cpp
+++ b/src/process/sidecar/remote_attempt.cpp
@@ -98,12 +98,17 @@
   request::attempt_ptr self(this);
   End();
   mCall.reset();
-  mPlacement.OnFailure(mTarget.vm, mRuntime.Now());
+  bool notSent = aError.failure == connection::http::call_failure::kNotSent;
   auto* observer = TakeObserver();
+  if (notSent) {
+    mWatch.OnUnreachable(mTarget);
+  } else {
+    mPlacement.OnFailure(mTarget.vm, mRuntime.Now());
+  }
   if (observer == nullptr) {
     return;
   }
-  if (aError.failure == connection::http::call_failure::kNotSent) {
+  if (notSent) {
     observer->OnAttemptRefused({ request::refusal_reason::kUnreachable });
   } else {
     observer->OnAttemptFailed({ aError.reason });
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -328,6 +328,10 @@
 
 void sidecar::OnMemberChanged(const version::member& aMember)
 {
+  if (!aMember.stopping) {
+    // It has just told of itself, so whatever made it unreachable is over.
+    mPlacement.OnSuccess(aMember.vm);
+  }
   if (aMember.vm == mSettings.vm && aMember.boot != mBoot) {
     // A record of an earlier process at this address has turned up.
     mLoop.Defer([this] { TellFleet(); });
--- a/src/process/sidecar/stored_fleet.cpp
+++ b/src/process/sidecar/stored_fleet.cpp
@@ -56,31 +56,31 @@
 void stored_fleet::Read(const std::string& aAfter)
 {
   mCalling = true;
-  mStore.Scan(
-    "", aAfter, kPage, mRuntime.Now() + kReadTimeout,
-    [this](const common::result<std::vector<connection::platform_row>>& aRows) {
-      mCalling = false;
-      common::boot_time now = mRuntime.Now();
-      if (!aRows.has_value()) {
-        mRuntime.log.Write(line_class::kState, "fleet_not_read", [&] {
-          return common::json{ { "reason", aRows.assume_error().message } };
-        });
-        mReadAt = now + kRetry;
-        return;
-      }
-      const auto& rows = aRows.assume_value();
-      for (const connection::platform_row& row : rows) {
-        OnRow(row);
-      }
-      if (rows.size() >= kPage) {
-        Read(rows.back().name);
-        return;
-      }
-      // Daemons that started together do not read together.
-      mReadAt = now + kReadPeriod +
-                common::milliseconds(int64_t(mRuntime.random.Below(uint64_t(kReadPeriod.count()))));
-      mOnRead();
-    });
+  mStore.Scan("", aAfter, kPage, mRuntime.Now() + kReadTimeout,
+              [this](const common::result<std::vector<connection::platform_row>>& aRows) {
+                mCalling = false;
+                common::boot_time now = mRuntime.Now();
+                if (!aRows.has_value()) {
+                  mRuntime.log.Write(line_class::kState, "fleet_not_read", [&] {
+                    return common::json{ { "reason", aRows.assume_error().message } };
+                  });
+                  mReadAt = now + kRetry;
+                  return;
+                }
+                const auto& rows = aRows.assume_value();
+                for (const connection::platform_row& row : rows) {
+                  OnRow(row);
+                }
+                if (rows.size() >= kPage) {
+                  Read(rows.back().name);
+                  return;
+                }
+                // Daemons that started together do not read together.
+                mReadAt = now + kReadPeriod +
+                          common::milliseconds(
+                            int64_t(mRuntime.random.Below(uint64_t(kReadPeriod.count()))));
+                mOnRead();
+              });
 }
 
 void stored_fleet::OnRow(const connection::platform_row& aRow)
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -144,9 +144,8 @@
 void upstream_gate::Admit(const request::request_facts& aFacts, gate_client* aClient)
 {
   common::boot_time now = mRuntime.Now();
-  request::admission_decision decision =
-    mAdmission.Offer(
-      { aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target, aFacts.onlyIfFree }, now);
+  request::admission_decision decision = mAdmission.Offer(
+    { aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target, aFacts.onlyIfFree }, now);
   if (decision.verdict == request::admission_verdict::kBusy) {
     TurnAway(aClient, request::refusal_reason::kBusy, decision.expectedWait);
     return;
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -9,8 +9,8 @@
 constexpr int kNotFound = 404;
 // An upstream that has been silent for this many of its periods, and a bit, is taken as gone.
 constexpr int kSilentPeriods = 3;
-// An answer that waits for keys is sent after this time at the latest. Upstreams take an answer that
-// arrives later than a second as none.
+// An answer that waits for keys is sent after this time at the latest. Upstreams take an answer
+// that arrives later than a second as none.
 constexpr common::milliseconds kLongestWait{ 700 };
 constexpr size_t kMaxAnnouncement = size_t(256) * 1024;
 
--- a/src/request/attempt.cpp
+++ b/src/request/attempt.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> kRefusalNames = {
-  "overloaded",    "no_upstream",      "not_owner", "unreachable",
-  "crash_suspect", "upstream_refused", "busy"
-};
+constexpr std::array<std::string_view, 7> kRefusalNames = { "overloaded",    "no_upstream",
+                                                            "not_owner",     "unreachable",
+                                                            "crash_suspect", "upstream_refused",
+                                                            "busy" };
 
 int64_t MicrosLeft(common::boot_time aDeadline, common::boot_time aNow)
 {
--- a/src/request/placement_search.cpp
+++ b/src/request/placement_search.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-std::optional<placement_step>
-placement_search::Next(const std::vector<placement_candidate>& aCandidates, common::boot_time aNow)
+std::optional<placement_step> placement_search::Next(
+  const std::vector<placement_candidate>& aCandidates, common::boot_time aNow)
 {
   unsigned most = mPlacement.FreeIsRare() ? kQuestionsWhenRare : kQuestions;
   if (mAsked < most) {
@@ -46,9 +46,8 @@
   return std::nullopt;
 }
 
-std::optional<placement_step>
-placement_search::AskForFree(const std::vector<placement_candidate>& aCandidates, bool aNear,
-                             common::boot_time aNow) const
+std::optional<placement_step> placement_search::AskForFree(
+  const std::vector<placement_candidate>& aCandidates, bool aNear, common::boot_time aNow) const
 {
   std::vector<placement_candidate> open;
   std::vector<size_t> indexes;
@@ -66,8 +65,8 @@
   return placement_step{ indexes[mPlacement.Choose(open, aNow)], true };
 }
 
-std::optional<placement_step>
-placement_search::Wait(const std::vector<placement_candidate>& aCandidates) const
+std::optional<placement_step> placement_search::Wait(
+  const std::vector<placement_candidate>& aCandidates) const
 {
   std::optional<placement_step> best;
   common::microseconds shortest{ 0 };
@@ -80,16 +79,7 @@
       shortest = found->second;
     }
   }
-  if (best.has_value() || !mBusy.empty() || aCandidates.empty()) {
-    return best;
-  }
-  // All of them are avoided or have refused; one that is only avoided may have come back.
-  for (size_t i = 0; i < aCandidates.size(); ++i) {
-    if (mRefused.count(aCandidates[i].vm) == 0) {
-      return placement_step{ i, false };
-    }
-  }
-  return std::nullopt;
+  return best;
 }
 
 void placement_search::OnBusy(const std::string& aVm, common::microseconds aWait)
--- a/src/request/placement_search.h
+++ b/src/request/placement_search.h
@@ -32,7 +32,8 @@
     : mPlacement(aPlacement)
   {
   }
-  // Where to go next; empty when the request should be rejected.
+  // Where to go next; empty when the request should be rejected. Gates that are avoided are not
+  // tried: somebody else asks their daemons for a sign of life.
   std::optional<placement_step> Next(const std::vector<placement_candidate>& aCandidates,
                                      common::boot_time aNow);
   // The gate has no free slot; the request may wait there for about this long.
--- a/src/version/key_map_delta.cpp
+++ b/src/version/key_map_delta.cpp
@@ -30,8 +30,7 @@
 
 common::service_name ServiceOfDelta(const common::json& aDelta)
 {
-  return common::service_name(
-    common::GetString(common::GetObject(aDelta, "changed"), "service"));
+  return common::service_name(common::GetString(common::GetObject(aDelta, "changed"), "service"));
 }
 
 applied_delta ApplyKeyMapDelta(const key_map* aKnown, const common::json& aDelta)
--- a/src/version/key_plan.h
+++ b/src/version/key_plan.h
@@ -25,8 +25,8 @@
 std::vector<key_assignment> SpreadKeys(const std::vector<key_range>& aRanges,
                                        const std::vector<heir>& aHeirs, const key_load* aLoad);
 
-// At most aMost of the heirs, the least used first. Spreading keys over few heirs keeps the number of
-// ranges, and so the size of the map and of its changes, independent of the fleet's size.
+// At most aMost of the heirs, the least used first. Spreading keys over few heirs keeps the number
+// of ranges, and so the size of the map and of its changes, independent of the fleet's size.
 std::vector<heir> LeastUsed(std::vector<heir> aHeirs, size_t aMost);
 
 } // namespace bamboograde::version
