--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -103,6 +103,8 @@
 void fleet_vm::StartDaemon()
 {
   std::string settings = "--settings=" + mSettingsPath;
+  int started[2];
+  cr_assert_eq(pipe2(started, O_CLOEXEC), 0);
   mDaemon = fork();
   if (mDaemon == 0) {
     // The daemon ends with the test, also when that fails.
@@ -115,6 +117,11 @@
     _exit(127);
   }
   cr_assert_gt(mDaemon, 0);
+  // Until the program has been loaded, the new process keeps this one's listeners open.
+  close(started[1]);
+  char end = 0;
+  cr_assert_eq(read(started[0], &end, 1), 0);
+  close(started[0]);
 }
 
 void fleet_vm::KillDaemon()
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -171,9 +171,9 @@
   cr_assert(Serves(fleet, 4, 100));
 }
 
-// An owner to which keys are on their way answers its upstream's announcement when they have arrived,
-// instead of letting them wait for the next one. The upstreams announce themselves at nearly the
-// same times, in order of their VMs; the last one's keys would wait for a whole period.
+// An owner to which keys are on their way answers its upstream's announcement when they have
+// arrived, instead of letting them wait for the next one. The upstreams announce themselves at
+// nearly the same times, in order of their VMs; the last one's keys would wait for a whole period.
 Test(fleet, handed_over_keys_do_not_wait_for_the_next_announcement)
 {
   constexpr common::milliseconds kPeriod{ 900 };
