--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -41,23 +41,6 @@
            { "priority", 1 },       { "maxAttempts", 2 } };
 }
 
-// One call of the test; collects the answer with its headers.
-class asker : public connection::http::call_observer
-{
-public:
-  void OnCallHead(connection::http::response_head& aHead) override { answer.status = aHead.status; }
-  void OnCallBody(std::string_view aBytes) override { answer.body.append(aBytes); }
-  void OnCallEnd() override { done = true; }
-  void OnCallFailed(const connection::http::call_error&) override
-  {
-    answer.status = 0;
-    done = true;
-  }
-
-  fleet_answer answer;
-  bool done = false;
-};
-
 } // namespace
 
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
@@ -205,8 +188,9 @@
   }
 }
 
-fleet_answer fleet_fixture::Ask(size_t aVm, const std::string& aMethod, const std::string& aPath,
-                                const std::string& aKey, const std::string& aBody)
+std::unique_ptr<open_ask> fleet_fixture::Begin(size_t aVm, const std::string& aMethod,
+                                               const std::string& aPath, const std::string& aKey,
+                                               const std::string& aBody)
 {
   connection::http::request_head head;
   head.method = aMethod;
@@ -220,11 +204,18 @@
   if (!aBody.empty()) {
     head.body = { connection::http::body_framing::kLength, aBody.size() };
   }
-  asker observer;
-  auto call =
-    mClients.Send(vms[aVm]->Callers(), head, aBody, true, loop.Now() + kPatience, &observer);
-  RunUntil([&observer] { return observer.done; }, 2 * kPatience, "an answer");
-  return observer.answer;
+  auto open = std::make_unique<open_ask>();
+  open->call =
+    mClients.Send(vms[aVm]->Callers(), head, aBody, true, loop.Now() + kPatience, open.get());
+  return open;
+}
+
+fleet_answer fleet_fixture::Ask(size_t aVm, const std::string& aMethod, const std::string& aPath,
+                                const std::string& aKey, const std::string& aBody)
+{
+  auto open = Begin(aVm, aMethod, aPath, aKey, aBody);
+  RunUntil([&open] { return open->done; }, 2 * kPatience, "an answer");
+  return open->answer;
 }
 
 bool fleet_fixture::WholeSpaceHeld() const
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -50,6 +50,24 @@
   std::string body;
 };
 
+// A request that is on its way.
+class open_ask : public connection::http::call_observer
+{
+public:
+  void OnCallHead(connection::http::response_head& aHead) override { answer.status = aHead.status; }
+  void OnCallBody(std::string_view aBytes) override { answer.body.append(aBytes); }
+  void OnCallEnd() override { done = true; }
+  void OnCallFailed(const connection::http::call_error&) override
+  {
+    answer.status = 0;
+    done = true;
+  }
+
+  connection::http::client_call_ptr call;
+  fleet_answer answer;
+  bool done = false;
+};
+
 class fleet_fixture
 {
 public:
@@ -63,6 +81,9 @@
   // Sends a request to the daemon of a VM and waits for the answer.
   fleet_answer Ask(size_t aVm, const std::string& aMethod, const std::string& aPath,
                    const std::string& aKey = "", const std::string& aBody = "");
+  // Sends a request and does not wait.
+  std::unique_ptr<open_ask> Begin(size_t aVm, const std::string& aMethod, const std::string& aPath,
+                                  const std::string& aKey = "", const std::string& aBody = "");
   void Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix = "");
   // Every key is held by exactly one upstream.
   bool WholeSpaceHeld() const;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -201,6 +201,27 @@
                  "the end of the process");
 }
 
+// Found on the users' bench: a daemon that stopped took a slow peer as silent, gave up a request
+// that ran there, and answered 502 in its place.
+Test(fleet, a_stopping_daemon_waits_for_what_runs_at_a_silent_peer)
+{
+  fleet_fixture fleet({ "keyed", "plain" });
+  WaitForKeys(fleet);
+  fleet.vms[1]->upstream->SetWork(common::milliseconds(600));
+  auto open = fleet.Begin(0, "GET", "/plain/x");
+  fleet.RunUntil([&fleet] { return fleet.record.runs[fleet.LastId()] == 1; },
+                 common::milliseconds(500), "the request runs");
+  fleet.vms[0]->StopDaemon();
+  fleet.RunFor(common::milliseconds(20));
+  fleet.vms[1]->PauseDaemon();
+  fleet.RunFor(common::milliseconds(900));
+  cr_assert_not(open->done, "status %d", open->answer.status);
+  fleet.vms[1]->ResumeDaemon();
+  fleet.RunUntil([&open] { return open->done; }, common::milliseconds(1000), "an answer");
+  cr_assert_eq(open->answer.status, 200);
+  cr_assert_eq(fleet.record.runs[fleet.LastId()], 1U);
+}
+
 Test(fleet, a_commit_whose_answer_is_lost_leaves_one_owner)
 {
   fleet_fixture fleet(kServices);
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -49,6 +49,8 @@
   void Leave() { mLeaving = true; }
   // Breaks off the answers of the next requests after running them.
   void LoseAnswers(unsigned aCount) { mLostAnswers = aCount; }
+  // How long requests run from now on.
+  void SetWork(common::milliseconds aWork) { mPlan.work = aWork; }
   // Answers the next requests with 500.
   void FailRequests(unsigned aCount) { mFailures = aCount; }
   bool Holds(uint32_t aKey) const;
