Begin the configuration's feed anew when it does not tell what a peer knows

The observer of a late feed was to be called when a newer configuration had been known at a peer for a second, but the peer's configuration is fetched after 150 ms, so it never was; a feed that nobody answers any more stayed so until its timeout of 30 s, and configurations came by gossip only. Ruled out: a shorter wait of the feed (a call for each daemon and wait, priced); keep-alive probes alone (a proxy that has lost track may go on answering them). Change: when a peer has told a configuration first, and the feed has not told any a second later, it is begun anew.

--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -12,9 +12,9 @@
 constexpr common::milliseconds kTimeout{ 500 };
 // Sending a large configuration over a slow link takes this long at most.
 constexpr common::milliseconds kTransferTimeout{ 2000 };
-// The feed tells a change within a few milliseconds of its commit; a configuration that a peer has
-// had for longer than the first time is asked for there, and after the second the feed is taken as
-// interrupted.
+// The feed tells a change within a few milliseconds of its commit. A configuration that a peer has
+// had for longer than the first time is asked for there; when the feed has not told it after the
+// second, the feed is taken as interrupted.
 constexpr common::milliseconds kFeedTime{ 150 };
 constexpr common::milliseconds kFeedLost{ 1000 };
 
@@ -42,6 +42,7 @@
   mTimer.Arm(mRuntime.Now() + kPeriod / 2 +
              common::milliseconds(int64_t(mRuntime.random.Below(uint64_t(kPeriod.count())))));
   CloseConfigLag();
+  CheckFeed();
   if (auto peer = RandomPeer(); peer.has_value()) {
     Compare(*peer);
   }
@@ -191,8 +192,8 @@
       mRuntime.fleet.ApplyKeyMap(map);
     }
   }
-  if (aNews.contains("config")) {
-    mRuntime.fleet.ApplyConfig(aNews["config"]);
+  if (aNews.contains("config") && mRuntime.fleet.ApplyConfig(aNews["config"])) {
+    mToldByPeerAt = mToldByPeerAt.value_or(mRuntime.Now());
   }
 }
 
@@ -210,7 +211,6 @@
   mConfigLag.source = from;
   if (!behindBefore) {
     mConfigLag.since = mRuntime.Now();
-    mConfigLag.reported = false;
   }
   // Without any configuration there is nothing to wait for.
   if (ConfigVersion() == 0) {
@@ -226,15 +226,6 @@
   if (!behind || mConfigLag.fetching || now < mConfigLag.since + kFeedTime) {
     return;
   }
-  if (now >= mConfigLag.since + kFeedLost && !mConfigLag.reported) {
-    mConfigLag.reported = true;
-    mRuntime.log.Write(line_class::kState, "configuration_late", [this] {
-      return common::json{ { "known", ConfigVersion() }, { "peer", mConfigLag.version } };
-    });
-    if (mOnLag) {
-      mOnLag();
-    }
-  }
   mConfigLag.fetching = true;
   mMessenger.Send(mConfigLag.source, kExchangePath,
                   { { "versions", Versions() }, { "config_wanted", true } }, now + kTransferTimeout,
@@ -249,4 +240,23 @@
                   });
 }
 
+// A feed that does not tell what a peer knows already is not heard any more.
+void gossip::CheckFeed()
+{
+  if (!mToldByPeerAt.has_value() || mRuntime.Now() < *mToldByPeerAt + kFeedLost) {
+    return;
+  }
+  bool fed = mFedAt >= *mToldByPeerAt;
+  mToldByPeerAt.reset();
+  if (fed) {
+    return;
+  }
+  mRuntime.log.Write(line_class::kState, "configuration_late", [this] {
+    return common::json{ { "version", ConfigVersion() } };
+  });
+  if (mOnLag) {
+    mOnLag();
+  }
+}
+
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/gossip.h
+++ b/src/process/sidecar/gossip.h
@@ -24,7 +24,9 @@
   // Answers to other daemons' messages.
   common::json OnCompare(const common::json& aBody);
   common::json OnExchange(const common::json& aBody);
-  // Called when a peer has known a newer configuration for longer than the feed needs to tell it.
+  // The platform's feed has told a configuration.
+  void OnConfigFed() { mFedAt = mRuntime.Now(); }
+  // Called when a peer has told a configuration and the feed does not tell it soon after.
   void SetLagObserver(std::function<void()> aObserver) { mOnLag = std::move(aObserver); }
   // When a peer last answered.
   common::boot_time HeardAt() const { return mHeardAt; }
@@ -36,7 +38,6 @@
     uint64_t version = 0;
     common::endpoint source;
     common::boot_time since;
-    bool reported = false;
     bool fetching = false;
   };
 
@@ -45,6 +46,7 @@
   void Apply(const common::json& aNews);
   void NoteConfig(const common::json& aBody);
   void CloseConfigLag();
+  void CheckFeed();
   uint64_t ConfigVersion() const;
   common::json Versions() const;
   uint64_t Digest() const;
@@ -59,6 +61,9 @@
   std::function<void()> mOnLag;
   std::set<common::endpoint> mComparing;
   config_lag mConfigLag;
+  common::boot_time mFedAt;
+  // When a peer told a configuration before the feed; empty once that is settled.
+  std::optional<common::boot_time> mToldByPeerAt;
   common::boot_time mHeardAt;
 };
 
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -160,6 +160,7 @@
   void OnRow(const connection::platform_row& aRow) override
   {
     if (aRow.name == "config" && !aRow.value.is_null()) {
+      mSidecar.mGossip.OnConfigFed();
       mSidecar.mFleet.ApplyConfig(aRow.value);
     }
   }
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -110,6 +110,23 @@
   cr_assert_eq(fleet.Ask(2, "GET", "/new/x").status, 200);
 }
 
+Test(fleet, a_feed_that_has_fallen_silent_is_begun_anew_when_a_peer_knows_more)
+{
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  fleet.table.SilenceFeeds();
+  fleet.Configure(2, "/new/");
+  // Reads the configuration at its start; the others can only hear of it there.
+  fleet.vms[0]->KillDaemon();
+  fleet.vms[0]->StartDaemon();
+  fleet.RunFor(common::milliseconds(2500));
+  for (size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+    cr_assert_eq(fleet.Ask(vm, "GET", "/new/x").status, 200, "vm %zu", vm);
+  }
+  fleet.RunUntil([&fleet] { return fleet.table.WaitingFeeds() == fleet.vms.size(); },
+                 common::milliseconds(2000), "all feeds wait again");
+}
+
 Test(fleet, goes_on_serving_while_the_table_service_is_down)
 {
   fleet_fixture fleet(kServices);
--- a/tests/standins/fleet/table_standin.h
+++ b/tests/standins/fleet/table_standin.h
@@ -26,6 +26,9 @@
   void LoseAnswers(unsigned aCount) { mLostAnswers = aCount; }
   // Feeds from earlier versions are answered with 410.
   void DropHistory() { mHistoryFrom = mVersion; }
+  // Nobody hears of the feeds that wait now any more; their connections stay open.
+  void SilenceFeeds() { mSilenced.swap(mFeeds); }
+  size_t WaitingFeeds() const { return mFeeds.size(); }
 
   connection::http::caller_limits Limits() const override { return {}; }
   void OnRequest(const connection::http::server_exchange_ptr& aExchange) override;
@@ -57,6 +60,7 @@
   unsigned mLostAnswers = 0;
   std::map<std::pair<std::string, std::string>, stored> mRows;
   std::deque<waiting_feed> mFeeds;
+  std::deque<waiting_feed> mSilenced;
 };
 
 } // namespace bamboograde::tests
