Decode stored maps, apply members, shuffle and name renewals in one place each

The change had written twice: applying a list of members (gossip, pushed updates), and putting items into random order (heirs, peers of a zone). Older twins beside them: a key map decoded and given its row's version in four places, and the names of renewal answers in key_takeover and session_manager. Change: fleet_state::ApplyMembers, common::Shuffle, DecodeKeyMap with the row's version, lease::NameOf. Behaviour stays as it is: the same draws from the random source in the same order, the same names.

--- a/src/common/random.h
+++ b/src/common/random.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace bamboograde::common {
 
@@ -31,6 +33,15 @@
   std::mt19937_64 mEngine;
 };
 
+// Puts the items into random order.
+template<typename item_type>
+void Shuffle(std::vector<item_type>* aItems, random_source& aRandom)
+{
+  for (size_t left = aItems->size(); left > 1; --left) {
+    std::swap((*aItems)[left - 1], (*aItems)[size_t(aRandom.Below(left))]);
+  }
+}
+
 // A seed from the machine's entropy.
 uint64_t EntropySeed();
 // A random identifier of 32 hexadecimal digits.
--- a/src/process/control/session_manager.cpp
+++ b/src/process/control/session_manager.cpp
@@ -15,20 +15,6 @@
 constexpr common::milliseconds kJoinRetry{ 500 };
 constexpr size_t kFullSet = 3;
 
-const char* AnswerName(lease::renewal_answer aAnswer)
-{
-  switch (aAnswer) {
-    case lease::renewal_answer::kRenewed:
-      return "renewed";
-    case lease::renewal_answer::kWrongBoot:
-      return "wrong_boot";
-    case lease::renewal_answer::kRevoked:
-      return "revoked";
-    default:
-      return "stale_table";
-  }
-}
-
 std::string ServiceRowName(const common::service_name& aService)
 {
   return "service/" + aService.Str();
@@ -507,11 +493,11 @@
                                  common::table_version(common::GetNumber(aBody, "table")),
                                  mTable.Version(), mContext.clock.Now());
   ++mContext.metrics.Get("lease_renewals_received_total",
-                         std::string("answer=\"") + AnswerName(answer) + "\"");
+                         std::string("answer=\"") + lease::NameOf(answer) + "\"");
   if (common::GetNumber(aBody, "table") > mTable.Version().Value() && !from.Empty()) {
     mTable.FetchFrom(from);
   }
-  return { { "answer", AnswerName(answer) },
+  return { { "answer", lease::NameOf(answer) },
            { "boot", mContext.boot.Str() },
            { "table", mTable.Version().Value() },
            { "digest", mMap.Rows().Digest() } };
--- a/src/process/lease/lease_witness.cpp
+++ b/src/process/lease/lease_witness.cpp
@@ -4,6 +4,21 @@
 
 namespace bamboograde::process::lease {
 
+const char* NameOf(renewal_answer aAnswer)
+{
+  switch (aAnswer) {
+    case renewal_answer::kRenewed:
+      return "renewed";
+    case renewal_answer::kWrongBoot:
+      return "wrong_boot";
+    case renewal_answer::kRevoked:
+      return "revoked";
+    case renewal_answer::kStaleTable:
+      return "stale_table";
+  }
+  return "";
+}
+
 lease_witness::lease_witness(lease_terms aTerms, common::boot_id aBoot,
                              common::boot_time aStartedAt)
   : mTerms(aTerms)
--- a/src/process/lease/lease_witness.h
+++ b/src/process/lease/lease_witness.h
@@ -19,6 +19,9 @@
   kStaleTable,
 };
 
+// As it is told in the answer to a renewal.
+const char* NameOf(renewal_answer aAnswer);
+
 enum class revocation_answer
 {
   // The last renewal has lapsed and none will follow.
--- a/src/process/sidecar/change_broadcast.cpp
+++ b/src/process/sidecar/change_broadcast.cpp
@@ -1,7 +1,5 @@
 #include "process/sidecar/change_broadcast.h"
 
-#include <algorithm>
-
 namespace bamboograde::process::sidecar {
 
 namespace {
@@ -45,7 +43,7 @@
 common::json change_broadcast::OnUpdate(const common::json& aBody)
 {
   common::endpoint from(common::GetString(aBody, "from"));
-  bool news = ApplyMembers(aBody);
+  bool news = mRuntime.fleet.ApplyMembers(common::GetArray(aBody, "members"));
   news = ApplyDelta(aBody, from) || news;
   if (news) {
     PassOn(aBody, from);
@@ -53,17 +51,6 @@
   return common::json::object();
 }
 
-bool change_broadcast::ApplyMembers(const common::json& aBody)
-{
-  bool news = false;
-  for (const common::json& value : common::GetArray(aBody, "members")) {
-    if (auto member = version::DecodeMember(value); member.has_value()) {
-      news = mRuntime.fleet.ApplyMember(*member) || news;
-    }
-  }
-  return news;
-}
-
 bool change_broadcast::ApplyDelta(const common::json& aBody, const common::endpoint& aFrom)
 {
   const common::json& delta = common::GetObject(aBody, "key_map");
@@ -89,9 +76,7 @@
     }
   }
   for (auto& [zone, peers] : zones) {
-    for (size_t left = peers.size(); left > 1; --left) {
-      std::swap(peers[left - 1], peers[size_t(mRuntime.random.Below(left))]);
-    }
+    common::Shuffle(&peers, mRuntime.random);
   }
   return zones;
 }
--- a/src/process/sidecar/change_broadcast.h
+++ b/src/process/sidecar/change_broadcast.h
@@ -35,7 +35,6 @@
 private:
   using vm_set = std::set<std::string>;
 
-  bool ApplyMembers(const common::json& aBody);
   bool ApplyDelta(const common::json& aBody, const common::endpoint& aFrom);
   // Sends to daemons that must know, and to some of each zone.
   void SendEverywhere(const common::json& aBody, const vm_set& aFirst);
--- a/src/process/sidecar/fleet_state.cpp
+++ b/src/process/sidecar/fleet_state.cpp
@@ -16,6 +16,17 @@
   return true;
 }
 
+bool fleet_state::ApplyMembers(const common::json& aList)
+{
+  bool news = false;
+  for (const common::json& value : aList) {
+    if (auto member = version::DecodeMember(value); member.has_value()) {
+      news = ApplyMember(*member) || news;
+    }
+  }
+  return news;
+}
+
 bool fleet_state::ApplyConfig(const common::json& aValue)
 {
   auto decoded = mDecoder.Decode(aValue);
--- a/src/process/sidecar/fleet_state.h
+++ b/src/process/sidecar/fleet_state.h
@@ -30,6 +30,8 @@
 
   // Each returns true when the value was newer than the known one.
   bool ApplyMember(const version::member& aMember);
+  // Applies a list of members; what is not one is left out.
+  bool ApplyMembers(const common::json& aList);
   // aValue: the configuration as the operator wrote it.
   bool ApplyConfig(const common::json& aValue);
   bool ApplyKeyMap(const version::key_map_ptr& aMap);
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -180,15 +180,11 @@
 
 void gossip::Apply(const common::json& aNews)
 {
-  for (const common::json& value : common::GetArray(aNews, "members")) {
-    if (auto member = version::DecodeMember(value); member.has_value()) {
-      mRuntime.fleet.ApplyMember(*member);
-    }
-  }
+  mRuntime.fleet.ApplyMembers(common::GetArray(aNews, "members"));
   for (const common::json& value : common::GetArray(aNews, "key_maps")) {
-    auto map = version::DecodeKeyMap(common::GetObject(value, "map"));
+    auto map = version::DecodeKeyMap(common::GetObject(value, "map"),
+                                     common::row_version(common::GetNumber(value, "row")));
     if (map != nullptr) {
-      map->version = common::row_version(common::GetNumber(value, "row"));
       mRuntime.fleet.ApplyKeyMap(map);
     }
   }
--- a/src/process/sidecar/key_heirs.cpp
+++ b/src/process/sidecar/key_heirs.cpp
@@ -29,9 +29,7 @@
                         aPlacement.Use(owner.vm, now).value_or(kUnknownUse) });
     }
   }
-  for (size_t left = heirs.size(); left > 1; --left) {
-    std::swap(heirs[left - 1], heirs[size_t(aRuntime.random.Below(left))]);
-  }
+  common::Shuffle(&heirs, aRuntime.random);
   return heirs;
 }
 
--- a/src/process/sidecar/key_map_editor.cpp
+++ b/src/process/sidecar/key_map_editor.cpp
@@ -79,11 +79,10 @@
 
 bool key_map_editor::ApplyRow(const connection::platform_row& aRow)
 {
-  auto map = version::DecodeKeyMap(aRow.value);
+  auto map = version::DecodeKeyMap(aRow.value, aRow.version);
   if (map == nullptr) {
     return false;
   }
-  map->version = aRow.version;
   mRuntime.fleet.ApplyKeyMap(map);
   return true;
 }
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -15,21 +15,6 @@
 constexpr common::milliseconds kRetryPause{ 500 };
 constexpr uint64_t kRetryJitterMs = 300;
 
-const char* NameOf(lease::renewal_answer aAnswer)
-{
-  switch (aAnswer) {
-    case lease::renewal_answer::kRenewed:
-      return "renewed";
-    case lease::renewal_answer::kWrongBoot:
-      return "wrong_boot";
-    case lease::renewal_answer::kRevoked:
-      return "revoked";
-    case lease::renewal_answer::kStaleTable:
-      return "stale_table";
-  }
-  return "";
-}
-
 } // namespace
 
 key_takeover::key_takeover(runtime& aRuntime, connection::platform_store& aStore,
@@ -51,7 +36,7 @@
     mWitness.OnRenew(common::session_id(common::GetString(aBody, "session")),
                      common::boot_id(common::GetString(aBody, "witness")), common::table_version(),
                      common::table_version(), mRuntime.Now());
-  return { { "outcome", NameOf(answer) } };
+  return { { "outcome", lease::NameOf(answer) } };
 }
 
 common::json key_takeover::OnRevoke(const common::json& aBody)
@@ -102,12 +87,12 @@
   // No promise is asked for while the platform could not take the change.
   mStore.Read(kKeyRowPrefix + aMap.service.Str(), now + kReadTimeout,
               [this, started](const common::result<connection::platform_row>& aRow) {
-                auto map =
-                  aRow.has_value() ? version::DecodeKeyMap(aRow.assume_value().value) : nullptr;
+                auto map = aRow.has_value() ? version::DecodeKeyMap(aRow.assume_value().value,
+                                                                    aRow.assume_value().version)
+                                            : nullptr;
                 if (map == nullptr) {
                   return;
                 }
-                map->version = aRow.assume_value().version;
                 mRuntime.fleet.ApplyKeyMap(map);
                 const version::key_owner* owner = map->Owner(started->owner.vm);
                 if (owner != nullptr && owner->session == started->owner.session) {
--- a/src/process/sidecar/stored_fleet.cpp
+++ b/src/process/sidecar/stored_fleet.cpp
@@ -92,8 +92,7 @@
     if (auto member = version::DecodeMember(aRow.value); member.has_value()) {
       mRuntime.fleet.ApplyMember(*member);
     }
-  } else if (auto map = version::DecodeKeyMap(aRow.value); map != nullptr) {
-    map->version = aRow.version;
+  } else if (auto map = version::DecodeKeyMap(aRow.value, aRow.version); map != nullptr) {
     mRuntime.fleet.ApplyKeyMap(map);
   }
 }
--- a/src/version/key_map.cpp
+++ b/src/version/key_map.cpp
@@ -167,9 +167,10 @@
            { "owners", std::move(owners) } };
 }
 
-boost::intrusive_ptr<key_map> DecodeKeyMap(const common::json& aValue)
+boost::intrusive_ptr<key_map> DecodeKeyMap(const common::json& aValue, common::row_version aVersion)
 {
   boost::intrusive_ptr<key_map> map(new key_map());
+  map->version = aVersion;
   map->service = common::service_name(common::GetString(aValue, "service"));
   map->lastFence = fence(common::GetNumber(aValue, "last_fence"));
   for (const common::json& owner : common::GetArray(aValue, "owners")) {
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -78,7 +78,8 @@
 void GiveRange(key_owner* aOwner, const held_range& aRange);
 
 common::json EncodeKeyMap(const key_map& aMap);
-// Null when the value is not a key map.
-boost::intrusive_ptr<key_map> DecodeKeyMap(const common::json& aValue);
+// Null when the value is not a key map. aVersion: of the platform's row that holds it.
+boost::intrusive_ptr<key_map> DecodeKeyMap(const common::json& aValue,
+                                           common::row_version aVersion = common::row_version());
 
 } // namespace bamboograde::version
