--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -12,12 +12,31 @@
 constexpr char kSeedsVariable[] = "BAMBOOGRADE_SOAK_SEEDS";
 constexpr common::milliseconds kLength{ 8000 };
 
-// "FIRST LAST", both included.
-std::pair<uint64_t, uint64_t> Seeds()
+// Seeds that failed once, with the cause.
+const std::vector<uint64_t> kRegressions = {
+  // Daemons that were back stayed avoided for up to 3.2 s.
+  11, 22,
+  // A daemon that started while the table service was down knew no members yet. Allowed: it knows
+  // them
+  // well within the recovery time.
+  17,
+  // Not the daemons: a process that was being started kept a listener of the rig open.
+  24
+};
+
+// Seeds 1 and 2 and the regressions, or those that the variable names: "FIRST LAST", both included.
+std::vector<uint64_t> Seeds()
 {
-  std::pair<uint64_t, uint64_t> seeds{ 1, 2 };
+  uint64_t first = 1;
+  uint64_t last = 2;
+  std::vector<uint64_t> seeds;
   if (const char* text = std::getenv(kSeedsVariable); text != nullptr) {
-    std::istringstream(text) >> seeds.first >> seeds.second;
+    std::istringstream(text) >> first >> last;
+  } else {
+    seeds = kRegressions;
+  }
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    seeds.push_back(seed);
   }
   return seeds;
 }
@@ -26,8 +45,7 @@
 
 Test(soak, promises_hold_under_random_faults, .timeout = 3600)
 {
-  auto [first, last] = Seeds();
-  for (uint64_t seed = first; seed <= last; ++seed) {
+  for (uint64_t seed : Seeds()) {
     tests::soak run(seed, kLength);
     auto violations = run.Run();
     cr_log_info("seed %lu: %s, %s", seed, run.Summary().c_str(),
