Tell the others of a commit whose answer was lost

Cause: a daemon that got no answer to its change of the key map read the row again and applied it, but told nobody. The others learned it from gossip, 0.4 s and more later; until then they asked the former owner, which refused them, and their callers got 503.

Ruled out: the targets lacking the keys (the test waits until the whole space is held), and a second owner (no request ran twice).

Change: a map that is read after a change without an outcome is passed on, as a committed one is; also when the change is found only by a later conflict. When the row holds just what was submitted, the outcome is known: committed.

The unit tests of key_map_editor fail without the change.

--- a/src/process/sidecar/key_map_editor.cpp
+++ b/src/process/sidecar/key_map_editor.cpp
@@ -9,6 +9,11 @@
 // How long the platform counts as unhealthy after a call without an answer.
 constexpr common::milliseconds kUnhealthyTime{ 1000 };
 
+bool SameContent(const version::key_map& aLeft, const version::key_map& aRight)
+{
+  return aLeft.lastFence == aRight.lastFence && aLeft.owners == aRight.owners;
+}
+
 } // namespace
 
 bool key_map_editor::Edit(const common::service_name& aService, const edit& aEdit,
@@ -55,51 +60,70 @@
       aMap->version = aResult.version;
       mRuntime.fleet.ApplyKeyMap(aMap);
       mBroadcast.SpreadKeyMap(aBefore.get(), *aMap);
-      mRuntime.counters.Add("bamboograde_key_map_commits_total");
-      mRuntime.log.Write(line_class::kState, "key_map_committed", [&] {
-        return common::json{ { "service", aMap->service.Str() }, { "map", aMap->version.Value() } };
-      });
-      aCallback(edit_outcome::kCommitted);
+      OnCommitted(*aMap, aCallback);
       return;
     case connection::commit_outcome::kConflict:
       mRuntime.counters.Add("bamboograde_key_map_conflicts_total");
-      if (aResult.current.size() == 1 && ApplyRow(aResult.current.front())) {
+      if (aResult.current.size() == 1 && ApplyRow(aResult.current.front()) != nullptr) {
         mBusy = false;
         aCallback(edit_outcome::kConflict);
         return;
       }
-      Reread(aMap->service, edit_outcome::kConflict, aCallback);
+      Reread(aMap, edit_outcome::kConflict, aCallback);
       return;
     case connection::commit_outcome::kUnknown:
       mHealthyAt = mRuntime.Now() + kUnhealthyTime;
-      Reread(aMap->service, edit_outcome::kUnknown, aCallback);
+      mMayBeUntold = true;
+      Reread(aMap, edit_outcome::kUnknown, aCallback);
       return;
   }
 }
 
-bool key_map_editor::ApplyRow(const connection::platform_row& aRow)
+void key_map_editor::OnCommitted(const version::key_map& aMap, const edit_callback& aCallback)
+{
+  mRuntime.counters.Add("bamboograde_key_map_commits_total");
+  mRuntime.log.Write(line_class::kState, "key_map_committed", [&aMap] {
+    return common::json{ { "service", aMap.service.Str() }, { "map", aMap.version.Value() } };
+  });
+  aCallback(edit_outcome::kCommitted);
+}
+
+version::key_map_ptr key_map_editor::ApplyRow(const connection::platform_row& aRow)
 {
   auto map = version::DecodeKeyMap(aRow.value, aRow.version);
   if (map == nullptr) {
-    return false;
+    return nullptr;
   }
-  mRuntime.fleet.ApplyKeyMap(map);
-  return true;
+  version::key_map_ptr before = mRuntime.fleet.KeyMap(map->service);
+  bool news = mRuntime.fleet.ApplyKeyMap(map);
+  if (news && mMayBeUntold) {
+    mMayBeUntold = false;
+    mBroadcast.SpreadKeyMap(before.get(), *map);
+  }
+  return map;
 }
 
-void key_map_editor::Reread(const common::service_name& aService, edit_outcome aOutcome,
-                            const edit_callback& aCallback)
+void key_map_editor::Reread(const boost::intrusive_ptr<version::key_map>& aSubmitted,
+                            edit_outcome aOutcome, const edit_callback& aCallback)
 {
-  mStore.Read(kKeyRowPrefix + aService.Str(), mRuntime.Now() + kReadTimeout,
-              [this, aOutcome, aCallback](const common::result<connection::platform_row>& aRow) {
-                mBusy = false;
-                if (aRow.has_value()) {
-                  ApplyRow(aRow.assume_value());
-                } else {
-                  mHealthyAt = mRuntime.Now() + kUnhealthyTime;
-                }
-                aCallback(aOutcome);
-              });
+  mStore.Read(
+    kKeyRowPrefix + aSubmitted->service.Str(), mRuntime.Now() + kReadTimeout,
+    [this, aSubmitted, aOutcome, aCallback](const common::result<connection::platform_row>& aRow) {
+      mBusy = false;
+      version::key_map_ptr map;
+      if (aRow.has_value()) {
+        map = ApplyRow(aRow.assume_value());
+      } else {
+        mHealthyAt = mRuntime.Now() + kUnhealthyTime;
+      }
+      bool committed = aOutcome == edit_outcome::kUnknown && map != nullptr &&
+                       map->version > aSubmitted->version && SameContent(*map, *aSubmitted);
+      if (committed) {
+        OnCommitted(*map, aCallback);
+        return;
+      }
+      aCallback(aOutcome);
+    });
 }
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_map_editor.h
+++ b/src/process/sidecar/key_map_editor.h
@@ -43,15 +43,19 @@
   void OnAnswer(const version::key_map_ptr& aBefore,
                 const boost::intrusive_ptr<version::key_map>& aMap,
                 const connection::commit_result& aResult, const edit_callback& aCallback);
-  // Applies a map that the platform has told; false when the row holds none.
-  bool ApplyRow(const connection::platform_row& aRow);
-  void Reread(const common::service_name& aService, edit_outcome aOutcome,
+  void OnCommitted(const version::key_map& aMap, const edit_callback& aCallback);
+  // Applies a map that the platform has told; null when the row holds none.
+  version::key_map_ptr ApplyRow(const connection::platform_row& aRow);
+  // Finds out what became of a change.
+  void Reread(const boost::intrusive_ptr<version::key_map>& aSubmitted, edit_outcome aOutcome,
               const edit_callback& aCallback);
 
   runtime& mRuntime;
   connection::platform_store& mStore;
   change_broadcast& mBroadcast;
   bool mBusy = false;
+  // A change that was committed without an answer may be one that nobody has been told.
+  bool mMayBeUntold = false;
   common::boot_time mHealthyAt;
 };
 
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -251,7 +251,8 @@
   fleet.RunUntil(
     [&] { return fleet.vms[leaving]->upstream->HeldKeys() == 0 && fleet.WholeSpaceHeld(); },
     kTakeoverTime + common::milliseconds(2000), "handover");
-  cr_assert(Serves(fleet, 4, 100));
+  fleet_answer answer = fleet.Ask(4, "GET", "/keyed/x", "100");
+  cr_assert_eq(answer.status, 200, "status %d", answer.status);
 }
 
 // Found by a hunt: a daemon that could not hand its keys over, because the store was down, went on
--- /dev/null
+++ b/tests/process/sidecar/key_map_editor_test.cpp
@@ -0,0 +1,156 @@
+#include "process/sidecar/key_map_editor.h"
+
+#include "process/sidecar/sidecar_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using process::sidecar::edit_outcome;
+using process::sidecar::key_map_editor;
+
+namespace {
+
+const common::service_name kService("service");
+constexpr char kUpdatesSent[] = "bamboograde_updates_sent_total";
+
+// Holds one row. May take a write and lose its answer, or lose the write.
+class losing_store : public connection::platform_store
+{
+public:
+  enum class loss
+  {
+    kNothing,
+    kAnswer,
+    kWrite,
+    // Nothing is lost, but the row has changed meanwhile.
+    kConflict,
+  };
+
+  void Commit(const connection::transaction& aTransaction, common::boot_time /*aDeadline*/,
+              std::function<void(connection::commit_result)> aCallback) override
+  {
+    connection::commit_result result;
+    if (losing == loss::kConflict) {
+      aCallback({ connection::commit_outcome::kConflict, {}, { row } });
+      return;
+    }
+    if (losing != loss::kWrite) {
+      row.name = aTransaction.writes.front().name;
+      row.value = aTransaction.writes.front().value;
+      row.version = row.version.Next();
+    }
+    if (losing == loss::kNothing) {
+      result.outcome = connection::commit_outcome::kCommitted;
+      result.version = row.version;
+    }
+    aCallback(result);
+  }
+  void Read(const std::string& /*aName*/, common::boot_time /*aDeadline*/,
+            std::function<void(common::result<connection::platform_row>)> aCallback) override
+  {
+    if (beforeRead) {
+      beforeRead();
+    }
+    aCallback(row);
+  }
+  void Scan(
+    const std::string& /*aPrefix*/, const std::string& /*aAfter*/, size_t /*aLimit*/,
+    common::boot_time /*aDeadline*/,
+    std::function<void(common::result<std::vector<connection::platform_row>>)> aCallback) override
+  {
+    aCallback(std::vector<connection::platform_row>{ row });
+  }
+
+  loss losing = loss::kNothing;
+  // Another daemon's change comes in here.
+  std::function<void()> beforeRead;
+  connection::platform_row row;
+};
+
+struct editor_fixture : tests::sidecar_fixture
+{
+  editor_fixture()
+    : tests::sidecar_fixture("127.0.0.1")
+  {
+    AddPeer("127.0.0.2");
+    Edit("before");
+    updatesBefore = Counter(kUpdatesSent);
+  }
+  // Adds an owner.
+  std::optional<edit_outcome> Edit(const std::string& aOwner)
+  {
+    std::optional<edit_outcome> outcome;
+    editor.Edit(
+      kService,
+      [&aOwner](version::key_map& aMap) {
+        aMap.owners.emplace_back().vm = aOwner;
+        return true;
+      },
+      [&outcome](edit_outcome aOutcome) { outcome = aOutcome; });
+    return outcome;
+  }
+  bool Knows(const std::string& aOwner) const
+  {
+    return fleet.KeyMap(kService)->Owner(aOwner) != nullptr;
+  }
+  uint64_t Updates() const { return Counter(kUpdatesSent) - updatesBefore; }
+
+  losing_store store;
+  process::sidecar::peer_messenger messenger{ runtime };
+  process::sidecar::change_broadcast broadcast{ runtime, messenger };
+  key_map_editor editor{ runtime, store, broadcast };
+  uint64_t updatesBefore = 0;
+};
+
+} // namespace
+
+// Found by CI: the daemons that nobody told of a commit went on asking the former owner until
+// gossip reached them.
+Test(key_map_editor, a_commit_whose_answer_is_lost_is_told_to_the_others)
+{
+  editor_fixture fixture;
+  fixture.store.losing = losing_store::loss::kAnswer;
+  cr_assert(fixture.Edit("owner") == edit_outcome::kCommitted);
+  cr_assert(fixture.Knows("owner"));
+  cr_assert_eq(fixture.Updates(), 1U);
+}
+
+Test(key_map_editor, a_commit_that_may_still_come_has_no_known_outcome)
+{
+  editor_fixture fixture;
+  fixture.store.losing = losing_store::loss::kWrite;
+  cr_assert(fixture.Edit("owner") == edit_outcome::kUnknown);
+  cr_assert_not(fixture.Knows("owner"));
+  cr_assert_eq(fixture.Updates(), 0U);
+}
+
+// The other change may or may not have come after the own one.
+Test(key_map_editor, a_lost_answer_and_another_change_have_no_known_outcome)
+{
+  editor_fixture fixture;
+  fixture.store.losing = losing_store::loss::kAnswer;
+  fixture.store.beforeRead = [&fixture] {
+    version::key_map other = *fixture.fleet.KeyMap(kService);
+    other.owners.emplace_back().vm = "other";
+    fixture.store.row.value = version::EncodeKeyMap(other);
+    fixture.store.row.version = fixture.store.row.version.Next();
+  };
+  cr_assert(fixture.Edit("owner") == edit_outcome::kUnknown);
+  cr_assert(fixture.Knows("other"));
+  cr_assert_eq(fixture.Updates(), 1U);
+}
+
+Test(key_map_editor, a_commit_that_came_late_is_told_once_it_is_found)
+{
+  editor_fixture fixture;
+  fixture.store.losing = losing_store::loss::kWrite;
+  fixture.Edit("owner");
+  version::key_map late = *fixture.fleet.KeyMap(kService);
+  late.owners.emplace_back().vm = "owner";
+  fixture.store.row.value = version::EncodeKeyMap(late);
+  fixture.store.row.version = fixture.store.row.version.Next();
+  fixture.store.losing = losing_store::loss::kConflict;
+  cr_assert(fixture.Edit("owner") == edit_outcome::kConflict);
+  cr_assert(fixture.Knows("owner"));
+  cr_assert_eq(fixture.Updates(), 1U);
+}
