Move shares of a limit when its demand moves, not with the next report

Cause of the known red (51 % of a limit usable when its demand moves to another daemon each second, target 95 %): daemons claimed every 200 ms only, and a share came free with the second claim of its holder.

Ruled out: dividing the limit in another way. With claims every 200 ms the daemon to which the demand moves holds nothing until its next claim, so that no division can use more than 80 %; the former test fixed that period and could not pass.

Change: the limiter takes a reading every 15 ms and reports at once when a row's demand has clearly changed; a daemon claims again as soon as it has given back a part of its share; the allocator prompts the sessions whose shares should change by 5 % of the limit or more, each once in 20 ms at most. A prompt that gets lost costs one report period.

The test is replaced by one as strict (same demand, same target) in which the daemons also decide when to claim: limit_world has the product's limiters and allocator and messages that take 1 ms. It also checks each millisecond that the shares in use do not exceed the limit, in 20 seeded runs with one of five messages lost as well, and bounds the number of claims.

--- a/src/process/control/control_task.cpp
+++ b/src/process/control/control_task.cpp
@@ -161,7 +161,8 @@
   RoutePeer("/table/push", [&](const json& aBody) { return all.table.HandlePush(aBody); });
   RoutePeer("/table/get", [&](const json&) { return all.table.HandleGet(); });
   RoutePeer("/move/prepare", [&](const json& aBody) { return all.moves.HandlePrepare(aBody); });
-  RoutePeer("/limits/report", [&](const json& aBody) { return all.limits.HandleReport(aBody); });
+  RoutePeer(kReportPath, [&](const json& aBody) { return all.limits.HandleReport(aBody); });
+  RoutePeer(kPromptPath, [&](const json& aBody) { return all.limits.HandlePrompt(aBody); });
   RoutePeer("/summary", [&](const json&) { return all.operators.Summary(); });
   RoutePeer("/suspects", [&](const json& aBody) {
     mMailboxes.gate.Send(import_suspects{ aBody.value("suspects", json()) });
--- a/src/process/control/limit_allocator.cpp
+++ b/src/process/control/limit_allocator.cpp
@@ -5,6 +5,14 @@
 
 namespace bamboograde::process::control {
 
+namespace {
+
+// A share that is off by less than this part of the limit waits for the next claim; so no more than
+// twenty sessions are prompted to give back and twenty to take.
+constexpr double kMuch = 0.05;
+
+} // namespace
+
 double limit_allocator::Grant(const common::row_id& aRow, double aLimitPerSecond,
                               const limit_claim& aClaim,
                               const std::set<common::session_id>& aSessions, common::boot_time aNow)
@@ -28,7 +36,8 @@
     others += session == aClaim.session ? 0 : other.Largest();
   }
   double granted = std::min(FairShare(state, aLimitPerSecond, own), aLimitPerSecond - others);
-  if (IsLearning(state, aSessions, aNow)) {
+  state.learning = IsLearning(state, aSessions, aNow);
+  if (state.learning) {
     // Raising a share now could exceed the limit together with shares that are not known yet.
     granted = std::min(granted, holdsEarlierShare ? aClaim.heldPerSecond : 0);
   }
@@ -39,6 +48,33 @@
   return granted;
 }
 
+std::vector<common::session_id> limit_allocator::Prompts(const common::row_id& aRow,
+                                                         double aLimitPerSecond,
+                                                         const common::session_id& aClaimant,
+                                                         common::boot_time aNow)
+{
+  std::vector<common::session_id> prompted;
+  auto found = mRows.find(aRow);
+  if (found == mRows.end() || found->second.learning) {
+    return prompted;
+  }
+  row_state& state = found->second;
+  double free = aLimitPerSecond;
+  for (const auto& [session, item] : state.shares) {
+    free -= item.Largest();
+  }
+  double much = aLimitPerSecond * kMuch;
+  for (auto& [session, item] : state.shares) {
+    double missing = FairShare(state, aLimitPerSecond, item) - item.Newest();
+    bool worthIt = missing < -much || (missing > much && free > much);
+    if (session != aClaimant && worthIt && aNow >= item.promptedAt + kPromptPause) {
+      item.promptedAt = aNow;
+      prompted.push_back(session);
+    }
+  }
+  return prompted;
+}
+
 bool limit_allocator::IsLearning(const row_state& aState,
                                  const std::set<common::session_id>& aSessions,
                                  common::boot_time aNow)
--- a/src/process/control/limit_allocator.h
+++ b/src/process/control/limit_allocator.h
@@ -16,6 +16,8 @@
 
 // Longer than a takeover, so that a row goes on under its held shares when its allocator is lost.
 constexpr common::milliseconds kLimitTerm{ 4000 };
+// A claim and its answer are through by then.
+constexpr common::milliseconds kPromptPause{ 20 };
 
 struct limit_claim
 {
@@ -38,6 +40,11 @@
   // before each has told what it holds, or could hold it no longer.
   double Grant(const common::row_id& aRow, double aLimitPerSecond, const limit_claim& aClaim,
                const std::set<common::session_id>& aSessions, common::boot_time aNow);
+  // Sessions other than the claimant whose shares should change much now that its demand is known.
+  // They are to claim again at once; a session is named once per kPromptPause at most.
+  std::vector<common::session_id> Prompts(const common::row_id& aRow, double aLimitPerSecond,
+                                          const common::session_id& aClaimant,
+                                          common::boot_time aNow);
   // This daemon is no longer the row's allocator.
   void Forget(const common::row_id& aRow) { mRows.erase(aRow); }
 
@@ -52,14 +59,17 @@
   {
     double demand = 0;
     common::boot_time claimedAt;
+    common::boot_time promptedAt;
     // Any of these may be in use, because the answer with a later one can be lost.
     std::vector<grant> grants;
     double Largest() const;
+    double Newest() const { return grants.empty() ? 0 : grants.back().perSecond; }
   };
   struct row_state
   {
     // Until then a session that has not claimed yet may hold a share of an earlier allocator.
     common::boot_time learningUntil;
+    bool learning = true;
     std::set<common::session_id> claimed;
     std::map<common::session_id, share> shares;
   };
--- a/src/process/control/limit_broker.cpp
+++ b/src/process/control/limit_broker.cpp
@@ -8,6 +8,13 @@
 
 using common::json;
 
+namespace {
+
+// A share that falls below this part of the former one is told back at once.
+constexpr double kGivesBack = 0.95;
+
+} // namespace
+
 limit_broker::limit_broker(context& aContext, map_gossip& aMap, table_keeper& aTable,
                            session_manager& aSessions)
   : mContext(aContext)
@@ -47,15 +54,44 @@
     mAllocator.Forget(aRow);
     return 0;
   }
+  common::boot_time now = mContext.clock.Now();
   for (const version::table_row& row : mTable.Table()->Rows()) {
     if (row.id == aRow) {
-      return mAllocator.Grant(aRow, row.limitPerSecond, aClaim, LiveSessions(),
-                              mContext.clock.Now());
+      double share = mAllocator.Grant(aRow, row.limitPerSecond, aClaim, LiveSessions(), now);
+      Prompt(aRow, mAllocator.Prompts(aRow, row.limitPerSecond, aClaim.session, now));
+      return share;
     }
   }
   return 0;
 }
 
+void limit_broker::Prompt(const common::row_id& aRow,
+                          const std::vector<common::session_id>& aSessions)
+{
+  if (aSessions.empty()) {
+    return;
+  }
+  std::set<common::session_id> prompted(aSessions.begin(), aSessions.end());
+  for (const auto& row : mMap.Sessions(mContext.config.service)) {
+    if (prompted.count(row->session) == 0) {
+      continue;
+    }
+    if (row->session == mSessions.Session()) {
+      ClaimShares({ aRow });
+    } else {
+      // Whoever misses this claims with its next report.
+      mContext.peers.Call(row->control, kPromptPath, { { "row", aRow.Str() } },
+                          mContext.In(kPeerTimeout), [](const connection::peer_reply&) {});
+    }
+  }
+}
+
+json limit_broker::HandlePrompt(const json& aBody)
+{
+  ClaimShares({ common::row_id(common::GetString(aBody, "row")) });
+  return json::object();
+}
+
 void limit_broker::UseShare(const common::row_id& aRow, double aPerSecond, uint64_t aSequence,
                             common::boot_time aClaimedAt)
 {
@@ -65,49 +101,76 @@
     return;
   }
   applied = aSequence;
-  mContext.boxes.gate.Send(set_limit_share{ aRow, aPerSecond, aClaimedAt + kLimitTerm });
+  request::limit_report& report = mReports[aRow];
+  bool givesBack = aPerSecond < report.heldPerSecond * kGivesBack;
+  report.heldPerSecond = aPerSecond;
+  report.heldUntil = aClaimedAt + kLimitTerm;
+  mContext.boxes.gate.Send(set_limit_share{ aRow, aPerSecond, report.heldUntil });
+  if (givesBack) {
+    // Others can have the rest as soon as the allocator knows that the lower share is in use.
+    ClaimShares({ aRow });
+  }
 }
 
 void limit_broker::OnDemand(const limit_demand& aDemand)
+{
+  std::vector<common::row_id> rows;
+  for (const request::limit_report& report : aDemand.reports) {
+    mReports[report.row] = report;
+    rows.push_back(report.row);
+  }
+  ClaimShares(rows);
+}
+
+void limit_broker::ClaimShares(const std::vector<common::row_id>& aRows)
 {
   common::boot_time now = mContext.clock.Now();
   uint64_t sequence = ++mLastSequence;
   std::map<common::endpoint, json> claims;
-  for (const request::limit_report& report : aDemand.reports) {
+  for (const common::row_id& row : aRows) {
+    auto found = mReports.find(row);
+    if (found == mReports.end()) {
+      continue;
+    }
+    const request::limit_report& report = found->second;
     auto heldFor = std::max(common::microseconds(0), report.heldUntil - now);
-    if (IsAllocator(report.row)) {
-      limit_claim claim{ mSessions.Session(),  sequence,
-                         mApplied[report.row], report.demandPerSecond,
+    if (IsAllocator(row)) {
+      limit_claim claim{ mSessions.Session(),  sequence, mApplied[row], report.demandPerSecond,
                          report.heldPerSecond, heldFor };
-      UseShare(report.row, Grant(report.row, claim), sequence, now);
-    } else if (const version::session_row* allocator = AllocatorOf(report.row)) {
-      claims[allocator->control].push_back({ { "row", report.row.Str() },
-                                             { "applied", mApplied[report.row] },
+      UseShare(row, Grant(row, claim), sequence, now);
+    } else if (const version::session_row* allocator = AllocatorOf(row)) {
+      claims[allocator->control].push_back({ { "row", row.Str() },
+                                             { "applied", mApplied[row] },
                                              { "demand", report.demandPerSecond },
                                              { "held", report.heldPerSecond },
                                              { "held_for_us", uint64_t(heldFor.count()) } });
     }
   }
   for (auto& [allocator, rows] : claims) {
-    json body = { { "session", mSessions.Session().Str() },
-                  { "sequence", sequence },
-                  { "rows", std::move(rows) } };
-    mContext.peers.Call(
-      allocator, "/limits/report", body, mContext.In(kPeerTimeout),
-      [this, now, sequence, allocator = allocator](const connection::peer_reply& aReply) {
-        for (const json& item : common::GetArray(aReply.body, "shares")) {
-          common::row_id row(common::GetString(item, "row"));
-          const version::session_row* current = AllocatorOf(row);
-          // The next allocator was told what is held; a late answer of the former
-          // one must not add to it.
-          if (current != nullptr && current->control == allocator) {
-            UseShare(row, common::GetReal(item, "share"), sequence, now);
-          }
-        }
-      });
+    SendClaims(allocator, std::move(rows), sequence);
   }
 }
 
+void limit_broker::SendClaims(const common::endpoint& aAllocator, json aRows, uint64_t aSequence)
+{
+  json body = { { "session", mSessions.Session().Str() },
+                { "sequence", aSequence },
+                { "rows", std::move(aRows) } };
+  mContext.peers.Call(aAllocator, kReportPath, body, mContext.In(kPeerTimeout),
+                      [this, claimedAt = mContext.clock.Now(), aSequence,
+                       aAllocator](const connection::peer_reply& aReply) {
+                        for (const json& item : common::GetArray(aReply.body, "shares")) {
+                          common::row_id row(common::GetString(item, "row"));
+                          const version::session_row* current = AllocatorOf(row);
+                          // The next allocator was told what is held; a late answer of the former
+                          // one must not add to it.
+                          if (current != nullptr && current->control == aAllocator) {
+                            UseShare(row, common::GetReal(item, "share"), aSequence, claimedAt);
+                          }
+                        }
+                      });
+}
+
 json limit_broker::HandleReport(const json& aBody)
 {
   json shares = json::array();
--- a/src/process/gate_task.cpp
+++ b/src/process/gate_task.cpp
@@ -157,16 +157,25 @@
 {
   mGate.Tick(mClock.Now(), mClock.UnixMs());
   SendEvents();
-  if (++mTicks % kTicksPerReport == 0) {
+  bool changed = mGate.Limiter().TakeReading(mClock.Now());
+  bool due = ++mTicks % kTicksPerReport == 0;
+  if (due) {
     PublishCounters();
-    auto reports = mGate.Limiter().TakeReports(mClock.Now());
-    bool idle =
-      std::all_of(reports.begin(), reports.end(),
-                  [](const request::limit_report& aReport) { return aReport.demandPerSecond < 1; });
-    bool due = !idle || mTicks % (kTicksPerReport * kIdleReportFactor) == 0;
-    if (!reports.empty() && due) {
-      mMailboxes.control.Send(limit_demand{ std::move(reports) });
-    }
+  }
+  if (due || changed) {
+    ReportDemand(changed);
+  }
+}
+
+void gate_task::ReportDemand(bool aChanged)
+{
+  auto reports = mGate.Limiter().TakeReports(mClock.Now());
+  bool idle = std::all_of(reports.begin(), reports.end(), [](const request::limit_report& aReport) {
+    return aReport.demandPerSecond < 1;
+  });
+  bool due = !idle || aChanged || mTicks % (kTicksPerReport * kIdleReportFactor) == 0;
+  if (!reports.empty() && due) {
+    mMailboxes.control.Send(limit_demand{ std::move(reports) });
   }
 }
 
--- a/src/process/gate_task.h
+++ b/src/process/gate_task.h
@@ -43,6 +43,8 @@
   void Handle(query&& aMessage);
 
   void OnTick();
+  // aChanged: the demand has just changed, so that even none is worth telling.
+  void ReportDemand(bool aChanged);
   void SendEvents();
   void SendEvent(request::gate_event&& aEvent);
   void SendToOwnerOf(request::request_token aToken, worker_message aMessage);
--- a/src/request/row_limiter.h
+++ b/src/request/row_limiter.h
@@ -27,6 +27,9 @@
   void SetShare(const common::row_id& aRow, double aPerSecond, common::boot_time aUntil);
   // Counts the demand; true when the request is within the share. Rows without limit always pass.
   bool TryTake(const common::row_id& aRow, common::boot_time aNow);
+  // Call every few milliseconds. True when a row's demand has changed so much that its limit would
+  // lie unused until the next report.
+  bool TakeReading(common::boot_time aNow);
   // Reports of all limited rows since the last call.
   std::vector<limit_report> TakeReports(common::boot_time aNow);
 
@@ -37,14 +40,20 @@
     common::boot_time shareUntil;
     double tokens = 0;
     common::boot_time filledAt;
+    // Since the last report, and since the last reading.
     uint64_t asked = 0;
+    uint64_t askedLately = 0;
     double demandPerSecond = 0;
+    // The demand is that of the last reading, not of the time since the last report.
+    bool changed = false;
   };
 
+  static bool HasChanged(const bucket& aBucket, double aElapsed);
   static void Fill(bucket* aBucket, common::boot_time aNow);
 
   std::map<common::row_id, bucket> mBuckets;
   common::boot_time mReportedAt;
+  common::boot_time mReadAt;
 };
 
 } // namespace bamboograde::request
--- /dev/null
+++ b/tests/process/control/limit_sharing_test.cpp
@@ -0,0 +1,58 @@
+// How much of a limit is usable when its demand moves between daemons.
+//
+// An earlier form of the first test let the daemons claim every 200 ms only. No way of dividing a
+// limit can then use more than four fifths of it: the daemon to which the demand moves holds
+// nothing until its next claim. Here the daemons also decide when to claim.
+
+#include "process/control/limit_world.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using namespace bamboograde::tests;
+
+namespace {
+
+constexpr int64_t kWarmUpMs = 8000;
+constexpr int64_t kEndMs = 28000;
+constexpr unsigned kRequestsPerMs = 5;
+
+// Share of the limit that could be used while the demand moves each second.
+double UsableShare(limit_world* aWorld, size_t aDaemons)
+{
+  uint64_t before = 0;
+  while (aWorld->NowMs() < kEndMs) {
+    before = aWorld->NowMs() < kWarmUpMs ? aWorld->Passed() : before;
+    aWorld->Step(size_t(aWorld->NowMs() / 1000) % aDaemons, kRequestsPerMs);
+    cr_assert_leq(aWorld->SharesInUse(), kLimit + 1e-6, "at %ld ms", long(aWorld->NowMs()));
+  }
+  return double(aWorld->Passed() - before) * 1000 / (kLimit * double(kEndMs - kWarmUpMs));
+}
+
+} // namespace
+
+Test(limit_sharing, limit_follows_demand_that_moves_each_second)
+{
+  limit_world world(4, 1, 0);
+  double usable = UsableShare(&world, 4);
+  cr_assert_geq(usable, 0.95, "usable share of the limit: %f", usable);
+  cr_assert_leq(usable, 1.0, "usable share of the limit: %f", usable);
+}
+
+Test(limit_sharing, the_limit_holds_whatever_messages_get_lost)
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    limit_world world(6, seed, 5);
+    UsableShare(&world, 6);
+  }
+}
+
+// A claim every 200 ms and, at each of the 20 moves, a few of the two daemons concerned.
+Test(limit_sharing, moving_demand_costs_few_claims)
+{
+  limit_world world(4, 1, 0);
+  UsableShare(&world, 4);
+  uint64_t regular = 4 * uint64_t(kEndMs) / 200;
+  uint64_t moves = uint64_t(kEndMs) / 1000;
+  cr_assert_leq(world.Claims(), regular + moves * 12, "%lu claims", world.Claims());
+}
--- /dev/null
+++ b/tests/process/control/limit_world.cpp
@@ -0,0 +1,101 @@
+#include "process/control/limit_world.h"
+
+#include "version/table_rows.h"
+
+namespace bamboograde::tests {
+
+namespace {
+
+constexpr int64_t kReportMs = 200;
+constexpr int64_t kWayMs = 1;
+// As the broker does it.
+constexpr double kGivesBack = 0.95;
+
+} // namespace
+
+limit_world::limit_world(size_t aDaemons, uint64_t aSeed, unsigned aLoss)
+  : mRandom(aSeed)
+  , mLoss(aLoss)
+  , mDaemons(aDaemons)
+{
+  auto table = MakeTable({ MakeRow(kRow.Str().c_str(), "*", 1, kLimit) });
+  for (daemon& item : mDaemons) {
+    item.limiter.SetTable(*table, common::service_name("routes"));
+  }
+}
+
+void limit_world::Step(size_t aAsking, unsigned aRequests)
+{
+  ++mMs;
+  while (!mMessages.empty() && mMessages.begin()->first <= mMs) {
+    auto message = mMessages.extract(mMessages.begin());
+    message.mapped()();
+  }
+  for (unsigned i = 0; i < aRequests; ++i) {
+    mPassed += mDaemons[aAsking].limiter.TryTake(kRow, AtMs(mMs)) ? 1 : 0;
+  }
+  for (size_t who = 0; who < mDaemons.size(); ++who) {
+    bool changed = mDaemons[who].limiter.TakeReading(AtMs(mMs));
+    // Daemons report at different times.
+    if (changed || (mMs + int64_t(who) * 37) % kReportMs == 0) {
+      mDaemons[who].report = mDaemons[who].limiter.TakeReports(AtMs(mMs)).front();
+      Claim(who);
+    }
+  }
+}
+
+double limit_world::SharesInUse() const
+{
+  double sum = 0;
+  for (const daemon& item : mDaemons) {
+    sum += item.until > AtMs(mMs) ? item.share : 0;
+  }
+  return sum;
+}
+
+void limit_world::Send(std::function<void()> aMessage)
+{
+  if (mLoss == 0 || mRandom.Below(mLoss) > 0) {
+    mMessages.emplace(mMs + kWayMs, std::move(aMessage));
+  }
+}
+
+void limit_world::Claim(size_t aWho)
+{
+  limit_claim claim = tests::Claim(int(aWho), mDaemons[aWho].report.demandPerSecond, ++mSequence,
+                                   mDaemons[aWho].applied);
+  Send([this, aWho, claim, now = AtMs(mMs)] { OnClaim(aWho, claim, now); });
+}
+
+void limit_world::OnClaim(size_t aWho, const limit_claim& aClaim, common::boot_time aClaimedAt)
+{
+  ++mClaims;
+  double share = mAllocator.Grant(kRow, kLimit, aClaim, Sessions(int(mDaemons.size())), AtMs(mMs));
+  Send([this, aWho, share, sequence = aClaim.sequence, aClaimedAt] {
+    UseShare(aWho, share, sequence, aClaimedAt);
+  });
+  for (const common::session_id& session :
+       mAllocator.Prompts(kRow, kLimit, aClaim.session, AtMs(mMs))) {
+    auto who = size_t(std::stoul(session.Str().substr(1)));
+    Send([this, who] { Claim(who); });
+  }
+}
+
+void limit_world::UseShare(size_t aWho, double aShare, uint64_t aSequence,
+                           common::boot_time aClaimedAt)
+{
+  daemon& own = mDaemons[aWho];
+  if (aSequence <= own.applied) {
+    return;
+  }
+  bool givesBack = aShare < own.share * kGivesBack;
+  own.applied = aSequence;
+  own.share = aShare;
+  own.until = aClaimedAt + kLimitTerm;
+  own.limiter.SetShare(kRow, aShare, own.until);
+  if (givesBack) {
+    Claim(aWho);
+  }
+}
+
+} // namespace bamboograde::tests
--- /dev/null
+++ b/tests/process/control/limit_world.h
@@ -0,0 +1,54 @@
+// Daemons that share a row's limit, in simulated time: their limiters and the allocator are the
+// product's, messages take a millisecond each way and may get lost.
+#pragma once
+
+#include "common/random.h"
+#include "process/control/limit_claims.h"
+#include "request/row_limiter.h"
+
+#include <functional>
+#include <map>
+
+namespace bamboograde::tests {
+
+class limit_world
+{
+public:
+  // aLoss: one of so many messages gets lost; 0: none does.
+  limit_world(size_t aDaemons, uint64_t aSeed, unsigned aLoss);
+  // Runs the next millisecond. aAsking: the daemon that gets aRequests of the row.
+  void Step(size_t aAsking, unsigned aRequests);
+  int64_t NowMs() const { return mMs; }
+  uint64_t Passed() const { return mPassed; }
+  // Claims that the allocator has answered.
+  uint64_t Claims() const { return mClaims; }
+  // Shares that are in use now, added up.
+  double SharesInUse() const;
+
+private:
+  struct daemon
+  {
+    request::row_limiter limiter;
+    request::limit_report report;
+    double share = 0;
+    common::boot_time until;
+    uint64_t applied = 0;
+  };
+
+  void Send(std::function<void()> aMessage);
+  void Claim(size_t aWho);
+  void OnClaim(size_t aWho, const limit_claim& aClaim, common::boot_time aClaimedAt);
+  void UseShare(size_t aWho, double aShare, uint64_t aSequence, common::boot_time aClaimedAt);
+
+  common::seeded_random mRandom;
+  unsigned mLoss;
+  int64_t mMs = 0;
+  uint64_t mSequence = 0;
+  uint64_t mPassed = 0;
+  uint64_t mClaims = 0;
+  limit_allocator mAllocator;
+  std::vector<daemon> mDaemons;
+  std::multimap<int64_t, std::function<void()>> mMessages;
+};
+
+} // namespace bamboograde::tests
