Give keys away once, however the upstream names what it has let go of

Ruled out: clocks and leases (no takeover, both grants within their leases), two versions of a map under one number, and lost answers of commits.

Change: key_departures, taken out of key_holder, gives each key to one piece and hands over only what the owner still has; a range that is held again after it was released is not given away; parts that are released before the rest keep their handover. GiveRange replaces what the owner has of a range, ranges that overlap leave no gap, and a claim joins neighbours at once.

--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -50,11 +50,6 @@
   return aStart.Str().rfind(aUpstream.Str() + "@", 0) == 0;
 }
 
-bool Overlap(const version::key_range& aLeft, const version::key_range& aRight)
-{
-  return aLeft.first <= aRight.last && aRight.first <= aLeft.last;
-}
-
 } // namespace
 
 common::milliseconds HoldTimeFor(common::milliseconds aAnnouncePeriod)
@@ -115,14 +110,7 @@
 
 std::vector<version::held_range> key_holder::Granted() const
 {
-  version::key_owner kept;
-  if (Joined()) {
-    kept = *Own();
-  }
-  for (const departure& item : mDepartures) {
-    version::TakeRange(&kept, item.range);
-  }
-  return kept.ranges;
+  return Joined() ? mDepartures.Remaining(*Own()) : std::vector<version::held_range>();
 }
 
 void key_holder::OnAnnouncement(const announcement& aAnnouncement)
@@ -143,7 +131,8 @@
   if (aAnnouncement.leaving) {
     BeginLeaving();
   }
-  NoteReleases(aAnnouncement);
+  mDepartures.OnAnnouncement(aAnnouncement);
+  CommitDepartures();
   if (!Joined()) {
     Tick();
   }
@@ -166,9 +155,7 @@
   }
   grant given{ Granted(), hold };
   // From now on the upstream lets go of what departs.
-  for (departure& item : mDepartures) {
-    item.leftOut = true;
-  }
+  mDepartures.OnLeftOut();
   PublishHeldBack();
   common::boot_time end =
     aHeardAt +
@@ -211,7 +198,7 @@
     mBalanceAt = now + kBalancePeriod;
     Balance();
   }
-  if (mLeaving && mDepartures.empty() && !Empty()) {
+  if (mLeaving && mDepartures.Empty() && !Empty()) {
     BeginLeaving();
   }
   CommitDepartures();
@@ -249,6 +236,8 @@
           range.token = aMap.lastFence;
           range.handover.clear();
         }
+        // Later the upstream would hold the parts and the whole side by side.
+        version::JoinNeighbours(own);
       }
       own->session = session;
       own->upstream = mIncarnation;
@@ -267,7 +256,7 @@
       mJoinedAt = mRuntime.Now();
       mLease = lease::lease_holder(mTerms);
       mLease.SetWitnesses(witnesses);
-      mDepartures.clear();
+      mDepartures.Clear();
       PublishHeldBack();
       mRuntime.log.Write(line_class::kState, "joined", [&] {
         return common::json{ { "session", session.Str() }, { "upstream", mIncarnation.Str() } };
@@ -434,7 +423,7 @@
 void key_holder::Balance()
 {
   common::boot_time now = mRuntime.Now();
-  if (!mDepartures.empty() || mLeaving || Empty() || !mEditor.Healthy()) {
+  if (!mDepartures.Empty() || mLeaving || Empty() || !mEditor.Healthy()) {
     return;
   }
   double ownUse = mGate.Utilization();
@@ -477,14 +466,14 @@
   }
   if (!plan.empty()) {
     mBalanceAt = now + kMovePause;
-    Depart(std::move(plan), targetEmpty ? "new_owner" : "uneven_load");
+    Depart(plan, targetEmpty ? "new_owner" : "uneven_load");
   }
 }
 
 void key_holder::BeginLeaving()
 {
   mLeaving = true;
-  if (!Joined() || !mDepartures.empty() || Empty()) {
+  if (!Joined() || !mDepartures.Empty() || Empty()) {
     return;
   }
   std::vector<version::heir> heirs = FewHeirs(mRuntime, mPlacement, *Map(), mRuntime.settings.vm);
@@ -494,11 +483,9 @@
   Depart(version::SpreadKeys(version::RangesOf(*Own()), heirs, &mGate.KeyLoad()), "leaving");
 }
 
-void key_holder::Depart(std::vector<version::key_assignment> aPlan, const char* aCause)
+void key_holder::Depart(const std::vector<version::key_assignment>& aPlan, const char* aCause)
 {
-  for (const version::key_assignment& part : aPlan) {
-    mDepartures.push_back({ part.range, part.vm, "" });
-  }
+  mDepartures.Add(aPlan);
   mRuntime.counters.Add("bamboograde_key_moves_total");
   mRuntime.log.Write(line_class::kState, "keys_departing", [&] {
     common::json parts = common::json::array();
@@ -515,10 +502,9 @@
 // Tells the targets that keys are on their way.
 void key_holder::TellTargets()
 {
-  std::set<std::string> told;
-  for (const departure& item : mDepartures) {
-    const version::member* target = mRuntime.fleet.Members().Find(item.target);
-    if (target != nullptr && told.insert(item.target).second) {
+  for (const std::string& vm : mDepartures.Targets()) {
+    const version::member* target = mRuntime.fleet.Members().Find(vm);
+    if (target != nullptr) {
       mMessenger.Send(target->control, kArrivingPath, common::json::object(),
                       mRuntime.Now() + kTellTimeout, [](const common::result<common::json>&) {});
     }
@@ -533,92 +519,35 @@
 
 void key_holder::PublishHeldBack()
 {
-  std::vector<version::key_range> ranges;
-  for (const departure& item : mDepartures) {
-    if (item.leftOut || item.released) {
-      ranges.push_back(item.range);
-    }
-  }
-  mGate.HoldBack(std::move(ranges));
-}
-
-void key_holder::NoteReleases(const announcement& aAnnouncement)
-{
-  std::vector<departure> pieces;
-  for (departure& item : mDepartures) {
-    bool held = std::any_of(
-      aAnnouncement.holds.begin(), aAnnouncement.holds.end(),
-      [&](const version::held_range& aHeld) { return Overlap(aHeld.range, item.range); });
-    if (item.released || held) {
-      pieces.push_back(item);
-      continue;
-    }
-    item.released = true;
-    // The upstream may have let go of it in several parts, each with a handover of its own.
-    version::key_owner rest;
-    rest.ranges.push_back({ item.range, {}, "" });
-    for (const released_range& part : aAnnouncement.released) {
-      if (Overlap(part.range, item.range)) {
-        version::key_range cut = { std::max(part.range.first, item.range.first),
-                                   std::min(part.range.last, item.range.last) };
-        pieces.push_back({ cut, item.target, part.handover, true, item.leftOut });
-        version::TakeRange(&rest, cut);
-      }
-    }
-    for (const version::held_range& left : rest.ranges) {
-      pieces.push_back({ left.range, item.target, "", true, item.leftOut });
-    }
-  }
-  mDepartures = std::move(pieces);
-  CommitDepartures();
+  mGate.HoldBack(mDepartures.HeldBack());
 }
 
 void key_holder::CommitDepartures()
 {
-  if (mDepartures.empty() || mEditor.Busy() || !mEditor.Healthy()) {
-    return;
-  }
-  bool lapsed = mRuntime.Now() >= mGrantEnd;
-  bool all = std::all_of(mDepartures.begin(), mDepartures.end(),
-                         [&](const departure& aItem) { return aItem.released || lapsed; });
-  if (!all) {
+  bool ready = mDepartures.Ready(mRuntime.Now() >= mGrantEnd);
+  if (!ready || mEditor.Busy() || !mEditor.Healthy()) {
     return;
   }
   mEditor.Edit(
     mGate.Service(),
     [this](version::key_map& aMap) {
-      version::key_owner* own = aMap.Owner(mRuntime.settings.vm);
+      const std::string& vm = mRuntime.settings.vm;
+      const version::key_owner* own = aMap.Owner(vm);
       if (own == nullptr || own->session != mSession) {
         return false;
       }
-      aMap.lastFence = aMap.lastFence.Next();
-      for (const departure& item : mDepartures) {
-        version::key_owner* target = aMap.Owner(item.target);
-        // A target that is gone: the first other owner takes the range.
-        for (version::key_owner& other : aMap.owners) {
-          target = target == nullptr && other.vm != own->vm ? &other : target;
-        }
-        if (target != nullptr) {
-          version::TakeRange(own, item.range);
-          version::GiveRange(target, { item.range, aMap.lastFence, item.handover });
-        }
-      }
+      mDepartures.Commit(&aMap, vm);
       return true;
     },
     [this](edit_outcome aOutcome) {
       // Without a known outcome the keys stay held back, and the commit is tried again.
       if (aOutcome == edit_outcome::kCommitted) {
-        FinishDepartures();
+        mDepartures.Clear();
+        PublishHeldBack();
       }
     });
 }
 
-void key_holder::FinishDepartures()
-{
-  mDepartures.clear();
-  PublishHeldBack();
-}
-
 void key_holder::OnKeyMapChanged()
 {
   version::key_map_ptr map = Map();
@@ -642,11 +571,7 @@
     mArrivalUntil = {};
     mOnArrival();
   }
-  // Ranges that are no longer owned here have departed, whoever committed it.
-  std::erase_if(mDepartures, [&](const departure& aItem) {
-    const version::key_owner* owner = map->Find(aItem.range.first);
-    return owner == nullptr || owner->vm != mRuntime.settings.vm;
-  });
+  mDepartures.DropDeparted(*map, mRuntime.settings.vm);
   PublishHeldBack();
 }
 
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -7,12 +7,11 @@
 
 #include "process/lease/lease_holder.h"
 #include "process/lease/witness_choice.h"
+#include "process/sidecar/key_departures.h"
 #include "process/sidecar/key_map_editor.h"
 #include "process/sidecar/upstream_gate.h"
 #include "version/key_plan.h"
 
-#include <set>
-
 namespace bamboograde::process::sidecar {
 
 constexpr char kArrivingPath[] = "/control/keys/arriving";
@@ -47,17 +46,6 @@
   void OnKeyMapChanged();
 
 private:
-  // A range on its way to another owner.
-  struct departure
-  {
-    version::key_range range;
-    std::string target;
-    std::string handover;
-    bool released = false;
-    // The last answer to the upstream has left the range out.
-    bool leftOut = false;
-  };
-
   bool Keyed() const;
   version::key_map_ptr Map() const { return mRuntime.fleet.KeyMap(mGate.Service()); }
   const version::key_owner* Own() const;
@@ -74,10 +62,8 @@
   void Divide();
   void Balance();
   std::vector<version::heir> Heirs() const;
-  void Depart(std::vector<version::key_assignment> aPlan, const char* aCause);
-  void NoteReleases(const announcement& aAnnouncement);
+  void Depart(const std::vector<version::key_assignment>& aPlan, const char* aCause);
   void CommitDepartures();
-  void FinishDepartures();
   void PublishHeldBack();
   void TellTargets();
   std::vector<version::held_range> Granted() const;
@@ -94,7 +80,7 @@
   // The upstream with the start of it that is meant.
   version::upstream_id mIncarnation;
   common::session_id mSession;
-  std::vector<departure> mDepartures;
+  key_departures mDepartures;
   bool mLeaving = false;
   // Until when the upstream may hold what was granted to it.
   common::boot_time mGrantEnd;
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -145,10 +145,7 @@
           lost->witnesses != aAttempt->owner.witnesses) {
         return false;
       }
-      std::vector<version::key_range> ranges;
-      for (const version::held_range& held : lost->ranges) {
-        ranges.push_back(held.range);
-      }
+      std::vector<version::key_range> ranges = version::RangesOf(*lost);
       std::vector<version::heir> heirs = FewHeirs(mRuntime, mPlacement, aMap, lost->vm);
       if (!ranges.empty() && heirs.empty()) {
         return false;
--- a/src/version/key_map.cpp
+++ b/src/version/key_map.cpp
@@ -65,6 +65,12 @@
 
 } // namespace
 
+std::optional<key_range> Common(const key_range& aLeft, const key_range& aRight)
+{
+  key_range common{ std::max(aLeft.first, aRight.first), std::min(aLeft.last, aRight.last) };
+  return common.first <= common.last ? std::optional(common) : std::nullopt;
+}
+
 const key_owner* key_map::Owner(const std::string& aVm) const
 {
   auto found = std::find_if(owners.begin(), owners.end(),
@@ -105,7 +111,8 @@
     if (range.first > next) {
       gaps.push_back({ next, range.first - 1 });
     }
-    next = range.last + 1;
+    // Ranges that overlap leave no gap.
+    next = std::max(next, range.last + 1);
   }
   if (next < kKeyPositions) {
     gaps.push_back({ next, kKeyPositions - 1 });
@@ -147,13 +154,19 @@
 
 void GiveRange(key_owner* aOwner, const held_range& aRange)
 {
+  TakeRange(aOwner, aRange.range);
   auto& ranges = aOwner->ranges;
   ranges.push_back(aRange);
   std::sort(ranges.begin(), ranges.end(), [](const held_range& aLeft, const held_range& aRight) {
     return aLeft.range.first < aRight.range.first;
   });
+  JoinNeighbours(aOwner);
+}
+
+void JoinNeighbours(key_owner* aOwner)
+{
   std::vector<held_range> joined;
-  for (const held_range& range : ranges) {
+  for (const held_range& range : aOwner->ranges) {
     bool joins = !joined.empty() && joined.back().range.last + 1 == range.range.first &&
                  joined.back().token == range.token && joined.back().handover == range.handover;
     if (joins) {
@@ -162,7 +175,7 @@
       joined.push_back(range);
     }
   }
-  ranges = std::move(joined);
+  aOwner->ranges = std::move(joined);
 }
 
 common::json EncodeKeyMap(const key_map& aMap)
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -26,6 +26,9 @@
   auto operator<=>(const key_range&) const = default;
 };
 
+// The keys that are in both ranges; empty when there are none.
+std::optional<key_range> Common(const key_range& aLeft, const key_range& aRight);
+
 using fence = common::number_id<struct fence_tag>;
 
 // A range as its owner's upstream holds it.
@@ -75,8 +78,10 @@
 std::vector<key_range> RangesOf(const key_owner& aOwner);
 // Removes aRange from the owner's ranges; what is left at its sides stays.
 void TakeRange(key_owner* aOwner, const key_range& aRange);
-// Adds ranges and joins neighbours of equal token.
+// Adds a range, in place of what the owner has of it, and joins neighbours of equal token.
 void GiveRange(key_owner* aOwner, const held_range& aRange);
+// Joins neighbouring ranges of equal token and handover.
+void JoinNeighbours(key_owner* aOwner);
 
 common::json EncodeKeyMap(const key_map& aMap);
 // Null when the value is not a key map. aVersion: of the platform's row that holds it.
--- /dev/null
+++ b/tests/process/sidecar/key_departures_test.cpp
@@ -0,0 +1,156 @@
+#include "process/sidecar/key_departures.h"
+
+#include <criterion/criterion.h>
+
+using namespace bamboograde;
+using process::sidecar::announcement;
+using process::sidecar::key_departures;
+using process::sidecar::released_range;
+
+namespace {
+
+constexpr char kOwner[] = "10.0.0.1";
+constexpr char kTarget[] = "10.0.0.2";
+
+announcement Announcement(const std::vector<version::key_range>& aHolds,
+                          std::vector<released_range> aReleased)
+{
+  announcement heard;
+  for (const version::key_range& range : aHolds) {
+    heard.holds.push_back({ range, version::fence(1), "" });
+  }
+  heard.released = std::move(aReleased);
+  return heard;
+}
+
+// The owner has all keys, the target none.
+version::key_map Map()
+{
+  version::key_map map;
+  map.lastFence = version::fence(1);
+  version::key_owner& owner = map.owners.emplace_back();
+  owner.vm = kOwner;
+  owner.ranges.push_back({ { 0, version::kKeyPositions - 1 }, map.lastFence, "" });
+  map.owners.emplace_back().vm = kTarget;
+  return map;
+}
+
+key_departures Departures()
+{
+  key_departures departures;
+  departures.Add({ { { 1000, 1999 }, kTarget } });
+  departures.OnLeftOut();
+  return departures;
+}
+
+// Every key has one owner, and the target has those from 1000 to 1999.
+void CheckWhole(const version::key_map& aMap)
+{
+  cr_assert(aMap.Unowned().empty());
+  uint32_t keys = 0;
+  uint32_t moved = 0;
+  for (const version::key_owner& owner : aMap.owners) {
+    for (const version::held_range& held : owner.ranges) {
+      keys += held.range.Size();
+      moved += owner.vm == kTarget ? held.range.Size() : 0;
+    }
+  }
+  cr_assert_eq(keys, version::kKeyPositions, "%u keys", keys);
+  cr_assert_eq(moved, 1000U);
+}
+
+std::string HandoverOf(const version::key_map& aMap, uint32_t aKey)
+{
+  for (const version::held_range& held : aMap.Owner(kTarget)->ranges) {
+    if (held.range.Contains(aKey)) {
+      return held.handover;
+    }
+  }
+  return "";
+}
+
+} // namespace
+
+// Found on the users' bench: neighbouring ranges had been joined, and the upstream held the parts
+// and the whole side by side. The new owner got the whole and a part of it besides, the keys after
+// that part counted as owned by nobody, and a third daemon took them.
+Test(key_departures, a_part_and_the_whole_that_are_both_released_are_given_once)
+{
+  key_departures departures = Departures();
+  departures.OnAnnouncement(
+    Announcement({ { 1000, 1200 }, { 1000, 1999 } }, { { { 1201, 1201 }, "a" } }));
+  cr_assert_not(departures.Ready(false));
+  departures.OnAnnouncement(Announcement({}, { { { 1000, 1200 }, "b" }, { { 1000, 1999 }, "c" } }));
+  cr_assert(departures.Ready(false));
+  version::key_map map = Map();
+  departures.Commit(&map, kOwner);
+  CheckWhole(map);
+  cr_assert(HandoverOf(map, 1200) == "b");
+  cr_assert(HandoverOf(map, 1201) == "c");
+}
+
+Test(key_departures, ranges_that_overlap_are_given_once)
+{
+  key_departures departures = Departures();
+  departures.OnAnnouncement(
+    Announcement({}, { { { 0, 1200 }, "a" }, { { 1000, 1999 }, "b" }, { { 1100, 1300 }, "c" } }));
+  cr_assert(departures.Ready(false));
+  version::key_map map = Map();
+  departures.Commit(&map, kOwner);
+  CheckWhole(map);
+  cr_assert(HandoverOf(map, 1000) == "a");
+  cr_assert(HandoverOf(map, 1250) == "b");
+}
+
+// The upstream names what it has let go of once; it may work on the rest for longer.
+Test(key_departures, the_handover_of_a_part_that_is_released_first_is_kept)
+{
+  key_departures departures = Departures();
+  departures.OnAnnouncement(
+    Announcement({ { 1500, 1500 } }, { { { 1000, 1499 }, "a" }, { { 1501, 1999 }, "b" } }));
+  cr_assert_not(departures.Ready(false));
+  departures.OnAnnouncement(Announcement({}, { { { 1500, 1500 }, "c" } }));
+  cr_assert(departures.Ready(false));
+  version::key_map map = Map();
+  departures.Commit(&map, kOwner);
+  CheckWhole(map);
+  cr_assert(HandoverOf(map, 1000) == "a");
+  cr_assert(HandoverOf(map, 1500) == "c");
+  cr_assert(HandoverOf(map, 1999) == "b");
+}
+
+// An answer that was held up on its way gave it back.
+Test(key_departures, a_range_that_is_held_again_is_not_given_away)
+{
+  key_departures departures = Departures();
+  departures.OnAnnouncement(Announcement({}, { { { 1000, 1999 }, "a" } }));
+  departures.OnAnnouncement(Announcement({ { 1000, 1999 } }, {}));
+  cr_assert_not(departures.Ready(false));
+  cr_assert(departures.Ready(true));
+}
+
+Test(key_departures, what_the_owner_has_no_more_is_not_given)
+{
+  key_departures departures = Departures();
+  departures.OnAnnouncement(Announcement({}, {}));
+  version::key_map map = Map();
+  version::key_range elsewhere{ 1400, 1599 };
+  version::TakeRange(map.Owner(kOwner), elsewhere);
+  version::key_owner& third = map.owners.emplace_back();
+  third.vm = "10.0.0.3";
+  version::GiveRange(&third, { elsewhere, version::fence(1), "" });
+  departures.Commit(&map, kOwner);
+  cr_assert(map.Unowned().empty());
+  cr_assert(map.Owner(kTarget)->ranges.size() == 2);
+  cr_assert(map.Find(1500)->vm == "10.0.0.3");
+}
+
+Test(key_departures, keys_are_held_back_once_they_are_left_out)
+{
+  key_departures departures;
+  departures.Add({ { { 1000, 1999 }, kTarget } });
+  cr_assert(departures.HeldBack().empty());
+  departures.OnLeftOut();
+  cr_assert_eq(departures.HeldBack().size(), 1U);
+  cr_assert(departures.Remaining(*Map().Owner(kOwner)).size() == 2);
+}
--- a/tests/version/key_map_test.cpp
+++ b/tests/version/key_map_test.cpp
@@ -98,6 +98,39 @@
   cr_assert_float_eq(sizes["a"], version::kKeyPositions / 4.0, 2);
 }
 
+Test(key_map, ranges_that_overlap_leave_no_gap)
+{
+  version::key_map map;
+  version::key_owner& owner = map.owners.emplace_back();
+  owner.vm = "a";
+  owner.ranges.push_back({ { 0, version::kKeyPositions - 1 }, version::fence(1), "" });
+  map.owners.emplace_back().vm = "b";
+  map.owners.back().ranges.push_back({ { 100, 200 }, version::fence(1), "" });
+  cr_assert(map.Unowned().empty());
+}
+
+Test(key_map, neighbours_of_equal_token_are_joined)
+{
+  version::key_owner owner;
+  owner.ranges = { { { 0, 9 }, version::fence(2), "" },
+                   { { 10, 10 }, version::fence(2), "" },
+                   { { 12, 20 }, version::fence(2), "" },
+                   { { 21, 30 }, version::fence(3), "" } };
+  version::JoinNeighbours(&owner);
+  cr_assert_eq(owner.ranges.size(), 3U);
+  cr_assert_eq(owner.ranges[0].range.last, 10U);
+}
+
+Test(key_map, a_range_that_is_given_twice_is_owned_once)
+{
+  version::key_owner owner;
+  version::GiveRange(&owner, { { 0, 100 }, version::fence(1), "a" });
+  version::GiveRange(&owner, { { 50, 60 }, version::fence(2), "b" });
+  cr_assert_eq(owner.ranges.size(), 3U);
+  cr_assert_eq(owner.ranges[1].range.last, 60U);
+  cr_assert_eq(owner.ranges[2].range.first, 61U);
+}
+
 Test(key_plan, cuts_by_load_where_it_is_known)
 {
   static version::key_load load;
