--- a/src/process/control/limit_allocator.cpp
+++ b/src/process/control/limit_allocator.cpp
@@ -11,8 +11,16 @@
 // twenty sessions are prompted to give back and twenty to take.
 constexpr double kMuch = 0.05;
 
+// A share that falls below this part of the former one is told back.
+constexpr double kGivesBack = 0.95;
+
 } // namespace
 
+bool GivesBack(double aFormerPerSecond, double aPerSecond)
+{
+  return aPerSecond < aFormerPerSecond * kGivesBack;
+}
+
 double limit_allocator::Grant(const common::row_id& aRow, double aLimitPerSecond,
                               const limit_claim& aClaim,
                               const std::set<common::session_id>& aSessions, common::boot_time aNow)
--- a/src/process/control/limit_allocator.h
+++ b/src/process/control/limit_allocator.h
@@ -19,6 +19,10 @@
 // A claim and its answer are through by then.
 constexpr common::milliseconds kPromptPause{ 20 };
 
+// A claimant whose share falls so much claims again at once: others can have the rest as soon as
+// the allocator knows that the lower share is in use.
+bool GivesBack(double aFormerPerSecond, double aPerSecond);
+
 struct limit_claim
 {
   common::session_id session;
--- a/src/process/control/limit_broker.cpp
+++ b/src/process/control/limit_broker.cpp
@@ -8,13 +8,6 @@
 
 using common::json;
 
-namespace {
-
-// A share that falls below this part of the former one is told back at once.
-constexpr double kGivesBack = 0.95;
-
-} // namespace
-
 limit_broker::limit_broker(context& aContext, map_gossip& aMap, table_keeper& aTable,
                            session_manager& aSessions)
   : mContext(aContext)
@@ -102,18 +95,18 @@
   }
   applied = aSequence;
   request::limit_report& report = mReports[aRow];
-  bool givesBack = aPerSecond < report.heldPerSecond * kGivesBack;
+  bool givesBack = GivesBack(report.heldPerSecond, aPerSecond);
   report.heldPerSecond = aPerSecond;
   report.heldUntil = aClaimedAt + kLimitTerm;
   mContext.boxes.gate.Send(set_limit_share{ aRow, aPerSecond, report.heldUntil });
   if (givesBack) {
-    // Others can have the rest as soon as the allocator knows that the lower share is in use.
     ClaimShares({ aRow });
   }
 }
 
 void limit_broker::OnDemand(const limit_demand& aDemand)
 {
+  mReports.clear();
   std::vector<common::row_id> rows;
   for (const request::limit_report& report : aDemand.reports) {
     mReports[report.row] = report;
--- a/tests/process/control/limit_world.cpp
+++ b/tests/process/control/limit_world.cpp
@@ -8,8 +8,6 @@
 
 constexpr int64_t kReportMs = 200;
 constexpr int64_t kWayMs = 1;
-// As the broker does it.
-constexpr double kGivesBack = 0.95;
 
 } // namespace
 
@@ -88,7 +86,7 @@
   if (aSequence <= own.applied) {
     return;
   }
-  bool givesBack = aShare < own.share * kGivesBack;
+  bool givesBack = process::control::GivesBack(own.share, aShare);
   own.applied = aSequence;
   own.share = aShare;
   own.until = aClaimedAt + kLimitTerm;
--- a/tests/process/sidecar/key_departures_test.cpp
+++ b/tests/process/sidecar/key_departures_test.cpp
@@ -43,13 +43,16 @@
   return departures;
 }
 
-// Every key has one owner, and the target has those from 1000 to 1999.
-void CheckWhole(const version::key_map& aMap)
+// Checks that every key has one owner and that the target has those from 1000 to 1999.
+version::key_map GivenAway(const key_departures& aDepartures)
 {
-  cr_assert(aMap.Unowned().empty());
+  cr_assert(aDepartures.Ready(false));
+  version::key_map map = Map();
+  aDepartures.Commit(&map, kOwner);
+  cr_assert(map.Unowned().empty());
   uint32_t keys = 0;
   uint32_t moved = 0;
-  for (const version::key_owner& owner : aMap.owners) {
+  for (const version::key_owner& owner : map.owners) {
     for (const version::held_range& held : owner.ranges) {
       keys += held.range.Size();
       moved += owner.vm == kTarget ? held.range.Size() : 0;
@@ -57,6 +60,7 @@
   }
   cr_assert_eq(keys, version::kKeyPositions, "%u keys", keys);
   cr_assert_eq(moved, 1000U);
+  return map;
 }
 
 std::string HandoverOf(const version::key_map& aMap, uint32_t aKey)
@@ -81,10 +85,7 @@
     Announcement({ { 1000, 1200 }, { 1000, 1999 } }, { { { 1201, 1201 }, "a" } }));
   cr_assert_not(departures.Ready(false));
   departures.OnAnnouncement(Announcement({}, { { { 1000, 1200 }, "b" }, { { 1000, 1999 }, "c" } }));
-  cr_assert(departures.Ready(false));
-  version::key_map map = Map();
-  departures.Commit(&map, kOwner);
-  CheckWhole(map);
+  version::key_map map = GivenAway(departures);
   cr_assert(HandoverOf(map, 1200) == "b");
   cr_assert(HandoverOf(map, 1201) == "c");
 }
@@ -94,10 +95,7 @@
   key_departures departures = Departures();
   departures.OnAnnouncement(
     Announcement({}, { { { 0, 1200 }, "a" }, { { 1000, 1999 }, "b" }, { { 1100, 1300 }, "c" } }));
-  cr_assert(departures.Ready(false));
-  version::key_map map = Map();
-  departures.Commit(&map, kOwner);
-  CheckWhole(map);
+  version::key_map map = GivenAway(departures);
   cr_assert(HandoverOf(map, 1000) == "a");
   cr_assert(HandoverOf(map, 1250) == "b");
 }
@@ -110,10 +108,7 @@
     Announcement({ { 1500, 1500 } }, { { { 1000, 1499 }, "a" }, { { 1501, 1999 }, "b" } }));
   cr_assert_not(departures.Ready(false));
   departures.OnAnnouncement(Announcement({}, { { { 1500, 1500 }, "c" } }));
-  cr_assert(departures.Ready(false));
-  version::key_map map = Map();
-  departures.Commit(&map, kOwner);
-  CheckWhole(map);
+  version::key_map map = GivenAway(departures);
   cr_assert(HandoverOf(map, 1000) == "a");
   cr_assert(HandoverOf(map, 1500) == "c");
   cr_assert(HandoverOf(map, 1999) == "b");
