Move keys more rarely the more owners share a row

Change: beyond six owners the pause after a move grows with their number. The small deployments have fewer owners and keep their pause.

--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -31,8 +31,11 @@
 // A change of witnesses that takes longer is given up; the next one may choose better.
 constexpr common::milliseconds kChangeTime{ 1500 };
 constexpr common::milliseconds kBalancePeriod{ 500 };
-// Pause after a move, so that its effect shows before the next.
+// Pause after a move, so that its effect shows before the next. All owners of a service change one
+// row, and everybody is told of each change: beyond this many owners the pause grows with their
+// number, so that the moves a second in the whole fleet do not.
 constexpr common::milliseconds kMovePause{ 1500 };
+constexpr size_t kOwnersWithoutLongerPause = 6;
 constexpr common::milliseconds kDecayPeriod{ 1000 };
 // An owner hands load over when it is used this much, and this much more than another.
 constexpr double kHighUse = 0.75;
@@ -45,6 +48,12 @@
                               std::to_string(aAnnouncement.startedMs));
 }
 
+common::milliseconds MovePause(size_t aOwners)
+{
+  return kMovePause * int64_t(std::max(aOwners, kOwnersWithoutLongerPause)) /
+         int64_t(kOwnersWithoutLongerPause);
+}
+
 bool IsStartOf(const version::upstream_id& aStart, const version::upstream_id& aUpstream)
 {
   return aStart.Str().rfind(aUpstream.Str() + "@", 0) == 0;
@@ -465,7 +474,7 @@
     plan.push_back({ range, target->vm });
   }
   if (!plan.empty()) {
-    mBalanceAt = now + kMovePause;
+    mBalanceAt = now + MovePause(map->owners.size());
     Depart(plan, targetEmpty ? "new_owner" : "uneven_load");
   }
 }
