--- a/src/process/sidecar/change_broadcast.cpp
+++ b/src/process/sidecar/change_broadcast.cpp
@@ -70,10 +70,8 @@
 std::map<common::zone_name, std::vector<const version::member*>> change_broadcast::PeersByZone()
 {
   std::map<common::zone_name, std::vector<const version::member*>> zones;
-  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
-    if (vm != mRuntime.settings.vm && !member.stopping) {
-      zones[member.zone].push_back(&member);
-    }
+  for (const version::member* peer : mRuntime.fleet.RunningPeers(mRuntime.settings.vm)) {
+    zones[peer->zone].push_back(peer);
   }
   for (auto& [zone, peers] : zones) {
     common::Shuffle(&peers, mRuntime.random);
--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -124,8 +124,7 @@
   mFacts.work = route->name;
   mFacts.rank = route->rank;
   mFacts.idempotent = route->idempotent;
-  const version::service_rule* service = config->Service(mFacts.service);
-  if (service != nullptr && service->keyed) {
+  if (process.fleet.IsKeyed(mFacts.service)) {
     mFacts.key = caller.key.value_or(0);
   }
   mMaxAttempts = std::max(route->maxAttempts, 1U);
@@ -342,9 +341,17 @@
   runtime& process = mContext.process;
   auto spent = std::chrono::duration_cast<common::microseconds>(process.Now() - mArrivedAt);
   process.counters.Observe("bamboograde_request_seconds", spent);
-  process.counters.Add(failed ? "bamboograde_upstream_errors_total" : "bamboograde_answers_total");
-  process.log.Write(failed ? line_class::kTrouble : line_class::kRoutine, "answered",
-                    [this] { return Describe("answered", std::to_string(mRelay.Status())); });
+  EndAnswer(failed);
+}
+
+void entry_request::EndAnswer(bool aFailed)
+{
+  boost::intrusive_ptr<entry_request> self(this);
+  mContext.process.counters.Add(aFailed ? "bamboograde_upstream_errors_total"
+                                        : "bamboograde_answers_total");
+  mContext.process.log.Write(
+    aFailed ? line_class::kTrouble : line_class::kRoutine, "answered",
+    [this] { return Describe("answered", std::to_string(mRelay.Status())); });
   mRelay.OnEnd();
   Release();
 }
@@ -452,7 +459,7 @@
 void entry_request::Reject(const char* aReason, common::microseconds aRetryAfter)
 {
   if (mHoldsAnswer) {
-    DeliverHeldAnswer();
+    EndAnswer(true);
     return;
   }
   // An earlier attempt of an idempotent request may have run: nothing may be promised.
@@ -474,21 +481,10 @@
   Respond(kUnavailable, std::move(head));
 }
 
-void entry_request::DeliverHeldAnswer()
-{
-  boost::intrusive_ptr<entry_request> self(this);
-  mContext.process.counters.Add("bamboograde_upstream_errors_total");
-  mContext.process.log.Write(line_class::kTrouble, "answered", [this] {
-    return Describe("answered", std::to_string(mRelay.Status()));
-  });
-  mRelay.OnEnd();
-  Release();
-}
-
 void entry_request::Fail(int aStatus, const std::string& aReason)
 {
   if (mHoldsAnswer) {
-    DeliverHeldAnswer();
+    EndAnswer(true);
     return;
   }
   mContext.process.counters.Add(
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -56,7 +56,8 @@
   bool MayRepeat();
   // Looks for another upstream than the last one. aMayWait: also where no slot is free.
   void SearchAnew(bool aMayWait);
-  void DeliverHeldAnswer();
+  // Passes on the end of the upstream's answer. aFailed: the upstream failed the request.
+  void EndAnswer(bool aFailed);
   void OnDeadline();
   // Answers that the request has not run and will not.
   // As Reject, with the longest pause that callers keep to.
--- a/src/process/sidecar/fleet_state.cpp
+++ b/src/process/sidecar/fleet_state.cpp
@@ -65,6 +65,23 @@
   return found == mKeyMaps.end() ? nullptr : found->second;
 }
 
+std::vector<const version::member*> fleet_state::RunningPeers(const std::string& aVm) const
+{
+  std::vector<const version::member*> peers;
+  for (const auto& [vm, member] : mMembers.All()) {
+    if (vm != aVm && !member.stopping) {
+      peers.push_back(&member);
+    }
+  }
+  return peers;
+}
+
+bool fleet_state::IsKeyed(const common::service_name& aService) const
+{
+  const version::service_rule* service = mConfig == nullptr ? nullptr : mConfig->Service(aService);
+  return service != nullptr && service->keyed;
+}
+
 size_t fleet_state::LiveMembers() const
 {
   const auto& all = mMembers.All();
--- a/src/process/sidecar/fleet_state.h
+++ b/src/process/sidecar/fleet_state.h
@@ -43,6 +43,11 @@
   // Null when the service has no map.
   version::key_map_ptr KeyMap(const common::service_name& aService) const;
   const std::map<common::service_name, version::key_map_ptr>& KeyMaps() const { return mKeyMaps; }
+  // Daemons other than the one on aVm that are not stopping, in order of their VMs. Valid until the
+  // next change of a member.
+  std::vector<const version::member*> RunningPeers(const std::string& aVm) const;
+  // Whether keys of the service belong to owners; false without a configuration.
+  bool IsKeyed(const common::service_name& aService) const;
   // Daemons that are not stopping; at least one.
   size_t LiveMembers() const;
 
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -50,12 +50,7 @@
 
 std::optional<common::endpoint> gossip::RandomPeer()
 {
-  std::vector<const version::member*> peers;
-  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
-    if (vm != mRuntime.settings.vm && !member.stopping) {
-      peers.push_back(&member);
-    }
-  }
+  auto peers = mRuntime.fleet.RunningPeers(mRuntime.settings.vm);
   if (!peers.empty()) {
     return peers[size_t(mRuntime.random.Below(peers.size()))]->control;
   }
--- a/src/process/sidecar/key_holder.cpp
+++ b/src/process/sidecar/key_holder.cpp
@@ -91,14 +91,6 @@
 {
 }
 
-bool key_holder::Keyed() const
-{
-  const version::route_config_ptr& config = mRuntime.fleet.Config();
-  const version::service_rule* service =
-    config == nullptr ? nullptr : config->Service(mGate.Service());
-  return service != nullptr && service->keyed;
-}
-
 const version::key_owner* key_holder::Own() const
 {
   version::key_map_ptr map = Map();
@@ -286,11 +278,11 @@
   self.zone = settings.zone;
   std::vector<lease::witness_candidate> others;
   common::boot_time now = mRuntime.Now();
-  for (const auto& [vm, member] : mRuntime.fleet.Members().All()) {
-    if (vm != settings.vm && !member.stopping && !mPlacement.IsAvoided(vm, now)) {
+  for (const version::member* peer : mRuntime.fleet.RunningPeers(settings.vm)) {
+    if (!mPlacement.IsAvoided(peer->vm, now)) {
       lease::witness_candidate& other = others.emplace_back();
-      other.ref = { member.control, member.boot };
-      other.zone = member.zone;
+      other.ref = { peer->control, peer->boot };
+      other.zone = peer->zone;
     }
   }
   return lease::ChooseWitnesses(self, others, aKeep, mRuntime.random);
--- a/src/process/sidecar/key_holder.h
+++ b/src/process/sidecar/key_holder.h
@@ -46,7 +46,7 @@
   void OnKeyMapChanged();
 
 private:
-  bool Keyed() const;
+  bool Keyed() const { return mRuntime.fleet.IsKeyed(mGate.Service()); }
   version::key_map_ptr Map() const { return mRuntime.fleet.KeyMap(mGate.Service()); }
   const version::key_owner* Own() const;
   bool Joined() const;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -24,15 +24,6 @@
 using connection::http::caller_limits;
 using connection::http::server_exchange_ptr;
 
-void Answer(const server_exchange_ptr& aExchange, int aStatus, const char* aType,
-            const std::string& aBody)
-{
-  connection::http::response_head head;
-  head.status = aStatus;
-  head.headers.Add("Content-Type", aType);
-  aExchange->Respond(std::move(head), aBody);
-}
-
 } // namespace
 
 // Callers on this VM.
@@ -103,7 +94,7 @@
     auto body = common::ParseJson(aExchange->TakeBody());
     const std::string& path = aExchange->Head().target;
     if (!body.has_value()) {
-      Answer(aExchange, kNotFound, "application/json", "{}");
+      Answer(aExchange, kNotFound, "{}");
       return;
     }
     common::json answer;
@@ -122,7 +113,7 @@
     } else if (path == kRevokePath) {
       answer = mSidecar.mTakeover.OnRevoke(body.assume_value());
     }
-    Answer(aExchange, answer.is_null() ? kNotFound : kOk, "application/json", common::Dump(answer));
+    Answer(aExchange, answer.is_null() ? kNotFound : kOk, common::Dump(answer));
   }
 
   sidecar& mSidecar;
@@ -140,10 +131,10 @@
   void OnRequest(const server_exchange_ptr& aExchange) override
   {
     if (aExchange->Head().target == kMetricsPath) {
-      Answer(aExchange, kOk, "text/plain; version=0.0.4", mSidecar.mCounters.Render());
+      Answer(aExchange, kOk, mSidecar.mCounters.Render(), "text/plain; version=0.0.4");
       return;
     }
-    Answer(aExchange, mSidecar.Ready() ? kOk : kUnavailable, "application/json", "{}");
+    Answer(aExchange, mSidecar.Ready() ? kOk : kUnavailable, "{}");
   }
 
 private:
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -8,9 +8,9 @@
 
 // A request for a key that is about to arrive or leave waits for at most this share of its time.
 constexpr double kParkShare = 0.2;
-// Weight of the newest reading in the utilization; readings are taken at each tick.
 // Requests on their way to a leaving upstream arrive before its time is over.
 constexpr common::milliseconds kDrainMargin{ 200 };
+// Weight of the newest reading in the utilization; readings are taken at each tick.
 constexpr double kReadingWeight = 0.1;
 
 } // namespace
@@ -60,10 +60,7 @@
 {
   mReady = false;
   CloseAt(mRuntime.Now() + mRuntime.settings.bounds.drain - kDrainMargin);
-  const version::service_rule* service =
-    mRuntime.fleet.Config() == nullptr ? nullptr : mRuntime.fleet.Config()->Service(mService);
-  bool keyed = service != nullptr && service->keyed;
-  if (!keyed) {
+  if (!mRuntime.fleet.IsKeyed(mService)) {
     TurnAwayWaiting(request::refusal_reason::kNoUpstream);
   }
 }
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -14,67 +14,8 @@
 constexpr common::milliseconds kLongestWait{ 700 };
 constexpr size_t kMaxAnnouncement = size_t(256) * 1024;
 
-void Answer(const connection::http::server_exchange_ptr& aExchange, int aStatus,
-            const std::string& aBody)
-{
-  connection::http::response_head head;
-  head.status = aStatus;
-  head.headers.Add("Content-Type", "application/json");
-  aExchange->Respond(std::move(head), aBody);
-}
-
-// Waits for the body of one message.
-class body_waiter : public connection::http::exchange_observer
-{
-public:
-  using body_callback = std::function<void(const connection::http::server_exchange_ptr&)>;
-
-  static void Wait(connection::http::event_loop& aLoop,
-                   const connection::http::server_exchange_ptr& aExchange, body_callback aCallback)
-  {
-    if (aExchange->BodyComplete()) {
-      aCallback(aExchange);
-      return;
-    }
-    aExchange->SetObserver(new body_waiter(aLoop, aExchange, std::move(aCallback)));
-  }
-
-private:
-  body_waiter(connection::http::event_loop& aLoop, connection::http::server_exchange_ptr aExchange,
-              body_callback aCallback)
-    : mLoop(aLoop)
-    , mExchange(std::move(aExchange))
-    , mCallback(std::move(aCallback))
-  {
-  }
-  void OnRequestBody() override
-  {
-    if (mExchange->BodyComplete()) {
-      End();
-      mCallback(mExchange);
-    }
-  }
-  void OnCallerGone() override { End(); }
-  void End()
-  {
-    mExchange->SetObserver(nullptr);
-    mLoop.Defer([this] { delete this; });
-  }
-
-  connection::http::event_loop& mLoop;
-  connection::http::server_exchange_ptr mExchange;
-  body_callback mCallback;
-};
-
 } // namespace
 
-void WithBody(connection::http::event_loop& aLoop,
-              const connection::http::server_exchange_ptr& aExchange,
-              std::function<void(const connection::http::server_exchange_ptr&)> aCallback)
-{
-  body_waiter::Wait(aLoop, aExchange, std::move(aCallback));
-}
-
 upstream_registry::upstream_registry(runtime& aRuntime, const upstream_codec& aCodec,
                                      upstream_gate& aGate, key_holder& aKeys,
                                      std::function<void()> aOnChange)
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -1,16 +1,11 @@
 // Hears the upstream beside the daemon: its announcements, its leaving, and new starts of it.
 #pragma once
 
-#include "connection/http/server_connection.h"
 #include "process/sidecar/key_holder.h"
+#include "process/sidecar/small_message.h"
 
 namespace bamboograde::process::sidecar {
 
-// Calls back once the body of a small message has arrived.
-void WithBody(connection::http::event_loop& aLoop,
-              const connection::http::server_exchange_ptr& aExchange,
-              std::function<void(const connection::http::server_exchange_ptr&)> aCallback);
-
 class upstream_registry : public connection::http::exchange_handler
 {
 public:
--- a/tests/process/control/limit_sharing_test.cpp
+++ b/tests/process/control/limit_sharing_test.cpp
@@ -35,6 +35,7 @@
 {
   limit_world world(4, 1, 0);
   double usable = UsableShare(&world, 4);
+  cr_log_info("usable share of the limit: %f", usable);
   cr_assert_geq(usable, 0.95, "usable share of the limit: %f", usable);
   cr_assert_leq(usable, 1.0, "usable share of the limit: %f", usable);
 }
--- a/tests/process/control/limit_world.cpp
+++ b/tests/process/control/limit_world.cpp
@@ -25,10 +25,7 @@
 void limit_world::Step(size_t aAsking, unsigned aRequests)
 {
   ++mMs;
-  while (!mMessages.empty() && mMessages.begin()->first <= mMs) {
-    auto message = mMessages.extract(mMessages.begin());
-    message.mapped()();
-  }
+  mMessages.RunUntil(AtMs(mMs));
   for (unsigned i = 0; i < aRequests; ++i) {
     mPassed += mDaemons[aAsking].limiter.TryTake(kRow, AtMs(mMs)) ? 1 : 0;
   }
@@ -54,7 +51,7 @@
 void limit_world::Send(std::function<void()> aMessage)
 {
   if (mLoss == 0 || mRandom.Below(mLoss) > 0) {
-    mMessages.emplace(mMs + kWayMs, std::move(aMessage));
+    mMessages.At(AtMs(mMs + kWayMs), std::move(aMessage));
   }
 }
 
--- a/tests/process/control/limit_world.h
+++ b/tests/process/control/limit_world.h
@@ -2,13 +2,11 @@
 // product's, messages take a millisecond each way and may get lost.
 #pragma once
 
+#include "common/event_queue.h"
 #include "common/random.h"
 #include "process/control/limit_claims.h"
 #include "request/row_limiter.h"
 
-#include <functional>
-#include <map>
-
 namespace bamboograde::tests {
 
 class limit_world
@@ -48,7 +46,7 @@
   uint64_t mClaims = 0;
   limit_allocator mAllocator;
   std::vector<daemon> mDaemons;
-  std::multimap<int64_t, std::function<void()>> mMessages;
+  event_queue mMessages;
 };
 
 } // namespace bamboograde::tests
--- a/tests/request/fleet_model.cpp
+++ b/tests/request/fleet_model.cpp
@@ -1,13 +1,12 @@
 #include "request/fleet_model.h"
 
+#include "common/event_queue.h"
 #include "request/admission.h"
 #include "request/placement_search.h"
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <memory>
-#include <queue>
 
 namespace bamboograde::tests {
 
@@ -19,17 +18,6 @@
 constexpr char kWork[] = "work";
 constexpr unsigned kTriesByReport = 4;
 
-struct event
-{
-  boot_time at;
-  uint64_t order;
-  std::function<void()> run;
-  bool operator>(const event& aOther) const
-  {
-    return std::tie(at, order) > std::tie(aOther.at, aOther.order);
-  }
-};
-
 struct gate
 {
   request::admission admission;
@@ -67,12 +55,7 @@
   fleet_outcome Run()
   {
     ScheduleArrival();
-    while (!mEvents.empty()) {
-      event next = mEvents.top();
-      mEvents.pop();
-      mNow = next.at;
-      next.run();
-    }
+    mEvents.Run();
     std::chrono::duration<double> length = mPattern.length;
     for (const gate& one : mGates) {
       double use = one.busySeconds / (length.count() * mPattern.slots);
@@ -83,17 +66,12 @@
   }
 
 private:
-  void At(boot_time aTime, std::function<void()> aRun)
-  {
-    mEvents.push({ aTime, ++mOrder, std::move(aRun) });
-  }
-
   void ScheduleArrival()
   {
     double gap = -std::log(1 - mRandom.Unit()) / mPattern.perSecond;
-    boot_time at = mNow + microseconds(int64_t(gap * 1e6));
+    boot_time at = mEvents.Now() + microseconds(int64_t(gap * 1e6));
     if (at < boot_time(mPattern.length)) {
-      At(at, [this] {
+      mEvents.At(at, [this] {
         Arrive();
         ScheduleArrival();
       });
@@ -104,7 +82,7 @@
   {
     ++mOutcome.asked;
     size_t entry = size_t(mRandom.Below(mPattern.entries));
-    job arrived{ mNow, unsigned(entry) % mPattern.zones };
+    job arrived{ mEvents.Now(), unsigned(entry) % mPattern.zones };
     bool placed = mPolicy == fleet_policy::kSearch ? Search(entry, arrived) : Try(entry, arrived);
     mOutcome.rejected += placed ? 0 : 1;
   }
@@ -125,8 +103,8 @@
   {
     request::placement_search search(*mEntries[aEntry]);
     auto candidates = Candidates(aJob.zone);
-    for (auto step = search.Next(candidates, mNow); step.has_value();
-         step = search.Next(candidates, mNow)) {
+    for (auto step = search.Next(candidates, mEvents.Now()); step.has_value();
+         step = search.Next(candidates, mEvents.Now())) {
       auto decision = Offer(aEntry, step->index, aJob, step->onlyIfFree);
       switch (decision.verdict) {
         case request::admission_verdict::kStart:
@@ -147,8 +125,9 @@
   {
     auto candidates = Candidates(aJob.zone);
     for (unsigned tries = 0; tries < kTriesByReport && !candidates.empty(); ++tries) {
-      size_t chosen = mPolicy == fleet_policy::kRandom ? size_t(mRandom.Below(candidates.size()))
-                                                       : mEntries[aEntry]->Choose(candidates, mNow);
+      size_t chosen = mPolicy == fleet_policy::kRandom
+                        ? size_t(mRandom.Below(candidates.size()))
+                        : mEntries[aEntry]->Choose(candidates, mEvents.Now());
       size_t index = std::stoul(candidates[chosen].vm);
       if (Offer(aEntry, index, aJob, false).verdict != request::admission_verdict::kReject) {
         return true;
@@ -163,7 +142,7 @@
     gate& target = mGates[aGate];
     auto decision = target.admission.Offer({ kWork, 1, aJob.arrivedAt + mPattern.deadline,
                                              aJob.arrivedAt + mPattern.target, aOnlyIfFree },
-                                           mNow);
+                                           mEvents.Now());
     Report(aEntry, aGate);
     if (decision.verdict == request::admission_verdict::kStart) {
       Start(aEntry, aGate, decision.ticket, aJob);
@@ -179,7 +158,7 @@
     mEntries[aEntry]->OnReport(std::to_string(aGate),
                                { unsigned(admission.Running()), unsigned(admission.Waiting()),
                                  mPattern.slots, admission.MeanServiceTime() },
-                               mNow);
+                               mEvents.Now());
   }
 
   void Start(size_t aEntry, size_t aGate, request::ticket_number aTicket, const job& aJob)
@@ -188,17 +167,17 @@
     auto work = microseconds(
       int64_t(double(microseconds(mPattern.work).count()) * spread / mGates[aGate].speed));
     mGates[aGate].busySeconds += std::chrono::duration<double>(work).count();
-    At(mNow + work, [this, aEntry, aGate, aTicket, aJob] {
+    mEvents.At(mEvents.Now() + work, [this, aEntry, aGate, aTicket, aJob] {
       gate& target = mGates[aGate];
-      target.admission.OnFinished(aTicket, true, mNow);
+      target.admission.OnFinished(aTicket, true, mEvents.Now());
       Count(target, aJob);
       Report(aEntry, aGate);
-      for (request::ticket_number lost : target.admission.TakeHopeless(mNow)) {
+      for (request::ticket_number lost : target.admission.TakeHopeless(mEvents.Now())) {
         target.waiting.erase(lost);
         ++mOutcome.rejected;
       }
-      for (auto next = target.admission.Next(mNow); next.has_value();
-           next = target.admission.Next(mNow)) {
+      for (auto next = target.admission.Next(mEvents.Now()); next.has_value();
+           next = target.admission.Next(mEvents.Now())) {
         job waited = target.waiting[*next];
         target.waiting.erase(*next);
         Start(aEntry, aGate, *next, waited);
@@ -208,7 +187,7 @@
 
   void Count(const gate& aGate, const job& aJob)
   {
-    bool inTarget = mNow - aJob.arrivedAt <= mPattern.target;
+    bool inTarget = mEvents.Now() - aJob.arrivedAt <= mPattern.target;
     mOutcome.inTarget += inTarget ? 1 : 0;
     mOutcome.late += inTarget ? 0 : 1;
     mOutcome.otherZone += aGate.zone == aJob.zone ? 0 : 1;
@@ -219,9 +198,7 @@
   common::seeded_random mRandom;
   std::vector<gate> mGates;
   std::vector<std::unique_ptr<request::placement>> mEntries;
-  std::priority_queue<event, std::vector<event>, std::greater<>> mEvents;
-  uint64_t mOrder = 0;
-  boot_time mNow;
+  event_queue mEvents;
   fleet_outcome mOutcome;
 };
 
--- a/tests/request/load_model.cpp
+++ b/tests/request/load_model.cpp
@@ -1,7 +1,8 @@
 #include "request/load_model.h"
 
+#include "common/event_queue.h"
+
 #include <cmath>
-#include <functional>
 
 namespace bamboograde::tests {
 
@@ -17,17 +18,6 @@
   bool returned = false;
 };
 
-struct event
-{
-  boot_time at;
-  uint64_t order;
-  std::function<void()> run;
-  bool operator>(const event& aOther) const
-  {
-    return std::tie(at, order) > std::tie(aOther.at, aOther.order);
-  }
-};
-
 class replayer
 {
 public:
@@ -44,21 +34,11 @@
     for (const load_class& kind : mPattern.classes) {
       ScheduleArrival(kind, boot_time());
     }
-    while (!mEvents.empty()) {
-      event next = mEvents.top();
-      mEvents.pop();
-      mNow = next.at;
-      next.run();
-    }
+    mEvents.Run();
     return mOutcomes;
   }
 
 private:
-  void At(boot_time aTime, std::function<void()> aRun)
-  {
-    mEvents.push({ aTime, ++mOrder, std::move(aRun) });
-  }
-
   void ScheduleArrival(const load_class& aKind, boot_time aFrom)
   {
     bool burst = aFrom >= boot_time(mPattern.burstFrom) && aFrom < boot_time(mPattern.burstUntil);
@@ -66,7 +46,7 @@
     double gap = -std::log(1 - mRandom.Unit()) / rate;
     boot_time at = aFrom + microseconds(int64_t(gap * 1e6));
     if (at < boot_time(mPattern.length)) {
-      At(at, [this, &aKind, at] {
+      mEvents.At(at, [this, &aKind, at] {
         ++mOutcomes[aKind.name].asked;
         Arrive({ &aKind, at, false });
         ScheduleArrival(aKind, at);
@@ -85,7 +65,7 @@
     request::admission_decision decision =
       mGate.Offer({ kind.name, kind.rank, aCaller.firstAsked + kind.deadline,
                     aCaller.firstAsked + kind.target },
-                  mNow);
+                  mEvents.Now());
     switch (decision.verdict) {
       case request::admission_verdict::kBusy:
       case request::admission_verdict::kReject:
@@ -103,15 +83,15 @@
   void Reject(const caller& aCaller, microseconds aWait)
   {
     boot_time deadline = aCaller.firstAsked + aCaller.kind->deadline;
-    auto left = std::chrono::duration_cast<microseconds>(deadline - mNow);
+    auto left = std::chrono::duration_cast<microseconds>(deadline - mEvents.Now());
     if (aCaller.returned) {
       ++mOutcomes[aCaller.kind->name].rejectedTwice;
       return;
     }
     caller again = aCaller;
     again.returned = true;
-    At(mNow + std::min(std::max(aWait, microseconds(50000)), left / 3),
-       [this, again] { Arrive(again); });
+    mEvents.At(mEvents.Now() + std::min(std::max(aWait, microseconds(50000)), left / 3),
+               [this, again] { Arrive(again); });
   }
 
   void Start(request::ticket_number aTicket, const caller& aCaller)
@@ -119,18 +99,19 @@
     double spread = 0.7 + 0.6 * mRandom.Unit();
     auto work = microseconds(int64_t(double(microseconds(aCaller.kind->work).count()) * spread));
     ++mRunning;
-    At(mNow + work, [this, aTicket, aCaller] {
+    mEvents.At(mEvents.Now() + work, [this, aTicket, aCaller] {
       --mRunning;
       Count(aCaller);
       if (!mAdmission) {
         StartFifo();
         return;
       }
-      mGate.OnFinished(aTicket, true, mNow);
-      for (request::ticket_number lost : mGate.TakeHopeless(mNow)) {
+      mGate.OnFinished(aTicket, true, mEvents.Now());
+      for (request::ticket_number lost : mGate.TakeHopeless(mEvents.Now())) {
         Break(mWaiting[lost]);
       }
-      for (auto next = mGate.Next(mNow); next.has_value(); next = mGate.Next(mNow)) {
+      for (auto next = mGate.Next(mEvents.Now()); next.has_value();
+           next = mGate.Next(mEvents.Now())) {
         Start(*next, mWaiting[*next]);
       }
     });
@@ -141,7 +122,7 @@
     while (mRunning < mPattern.slots && !mFifo.empty()) {
       caller next = mFifo.front();
       mFifo.pop();
-      if (mNow + next.kind->work > next.firstAsked + next.kind->deadline) {
+      if (mEvents.Now() + next.kind->work > next.firstAsked + next.kind->deadline) {
         Break(next);
       } else {
         Start(0, next);
@@ -155,13 +136,13 @@
     ++outcome.brokenPromises;
     outcome.longestRejection =
       std::max(outcome.longestRejection,
-               std::chrono::duration_cast<microseconds>(mNow - aCaller.firstAsked));
+               std::chrono::duration_cast<microseconds>(mEvents.Now() - aCaller.firstAsked));
   }
 
   void Count(const caller& aCaller)
   {
     load_outcome& outcome = mOutcomes[aCaller.kind->name];
-    auto spent = mNow - aCaller.firstAsked;
+    auto spent = mEvents.Now() - aCaller.firstAsked;
     if (spent <= aCaller.kind->target) {
       ++outcome.inTarget;
     } else if (spent <= aCaller.kind->deadline) {
@@ -175,9 +156,7 @@
   bool mAdmission;
   common::seeded_random mRandom;
   request::admission mGate;
-  std::priority_queue<event, std::vector<event>, std::greater<>> mEvents;
-  uint64_t mOrder = 0;
-  boot_time mNow;
+  event_queue mEvents;
   unsigned mRunning = 0;
   std::queue<caller> mFifo;
   std::map<request::ticket_number, caller> mWaiting;
