--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -55,7 +55,17 @@
 
 void upstream_gate::CloseAt(common::boot_time aTime)
 {
-  mCloseAt = std::min(mCloseAt, aTime);
+  if (aTime >= mCloseAt) {
+    return;
+  }
+  mCloseAt = aTime;
+  mRuntime.log.Write(line_class::kState, "gate_closes", [&] {
+    auto left = std::chrono::duration_cast<common::milliseconds>(aTime - mRuntime.Now());
+    return common::json{ { "upstream", mUpstream.Str() },
+                         { "in_ms", left.count() },
+                         { "running", mAdmission.Running() },
+                         { "waiting", mAdmission.Waiting() + mParked.size() } };
+  });
 }
 
 void upstream_gate::OnUpstreamLeaving()
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -82,9 +82,18 @@
     return;
   }
   const announcement& received = decoded.assume_value();
+  if (received.leaving) {
+    LogLeaving(aId, "announcement");
+  }
   if (IsStale(received)) {
+    mRuntime.counters.Add("bamboograde_late_announcements_total");
     mRuntime.log.Write(line_class::kState, "announcement_stale", [&] {
-      return common::json{ { "upstream", aId.Str() }, { "sequence", received.sequence } };
+      return common::json{ { "upstream", aId.Str() },
+                           { "sequence", received.sequence },
+                           { "started_ms", received.startedMs },
+                           { "leaving", received.leaving },
+                           { "current", mCurrent.id.Str() },
+                           { "current_sequence", mCurrent.sequence } };
     });
     Respond(aExchange, kOk, mCodec.EncodeAcknowledgement(std::nullopt));
     return;
@@ -100,7 +109,8 @@
     mRuntime.log.Write(line_class::kState, "upstream_started", [&] {
       return common::json{ { "upstream", aId.Str() },
                            { "service", received.service.Str() },
-                           { "started_ms", received.startedMs } };
+                           { "started_ms", received.startedMs },
+                           { "sequence", received.sequence } };
     });
     mGate.OnUpstreamStarted(received);
   }
@@ -149,6 +159,7 @@
 void upstream_registry::OnDeregister(const version::upstream_id& aId,
                                      const connection::http::server_exchange_ptr& aExchange)
 {
+  LogLeaving(aId, "deregistration");
   Respond(aExchange, kOk, "{}");
   if (aId != mCurrent.id) {
     return;
@@ -159,6 +170,23 @@
   SetState(version::upstream_state::kLeaving);
 }
 
+// Writes a line for a shutdown that is about to be acknowledged, unless it is known already.
+void upstream_registry::LogLeaving(const version::upstream_id& aId, const char* aMessage)
+{
+  bool current = aId == mCurrent.id;
+  if (current && mState == version::upstream_state::kLeaving) {
+    return;
+  }
+  mRuntime.counters.Add(current ? "bamboograde_upstream_leaves_total{current=\"true\"}"
+                                : "bamboograde_upstream_leaves_total{current=\"false\"}");
+  mRuntime.log.Write(line_class::kState, "upstream_leaving", [&] {
+    return common::json{ { "upstream", aId.Str() },
+                         { "message", aMessage },
+                         { "current", mCurrent.id.Str() },
+                         { "drain_ms", mRuntime.settings.bounds.drain.count() } };
+  });
+}
+
 void upstream_registry::SetState(version::upstream_state aState)
 {
   if (mState == aState) {
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -33,6 +33,7 @@
   void Acknowledge(const connection::http::server_exchange_ptr& aExchange, bool aMayWait);
   // Responds to the deferred announcement, if there is one.
   void AcknowledgeDeferred();
+  void LogLeaving(const version::upstream_id& aId, const char* aMessage);
   void SetState(version::upstream_state aState);
   bool IsStale(const announcement& aAnnouncement) const;
 
