Keep the deregistration of an upstream that the daemon does not know

What callers saw: requests were sent to an upstream 2.3 s and more after its shutdown had been acknowledged (drain time 2 s); it could end while it ran them. Cause: a daemon that has just started knows no upstream. It answered 200 to a deregistration and dropped it, because the id was not the current one. An announcement sent before and delivered later then started the upstream as ready. Also, leaving was read from the published state, which an upstream's silence resets, and a late leaving announcement was acknowledged without effect. The new test fails on the former code: status 200 instead of 503 from either VM. Change: the registry remembers upstreams that deregister without being known and takes their announcements for late ones as long as announcements can be delayed. Leaving is a property of the current incarnation, set by any message that says so, and ends only with the next incarnation. Why it works: every way to an acknowledged shutdown now either closes the gate or keeps the upstream from becoming current. The response is sent after that.

--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -11,6 +11,8 @@
 constexpr int kMaxSilentPeriods = 3;
 // Maximum deferral of a response. Upstreams ignore a response that arrives later than a second.
 constexpr common::milliseconds kMaxDeferral{ 700 };
+// Announcements are delivered at most this long after they were sent.
+constexpr common::milliseconds kMaxAnnouncementDelay{ 10000 };
 constexpr size_t kMaxAnnouncementBytes = size_t(256) * 1024;
 
 } // namespace
@@ -54,9 +56,13 @@
   }
 }
 
-// Whether the announcement is older than the last one received.
+// Whether the announcement is older than the last message of an upstream on this VM.
 bool upstream_registry::IsStale(const announcement& aAnnouncement) const
 {
+  auto gone = mGoneUntil.find(aAnnouncement.id);
+  if (gone != mGoneUntil.end() && mRuntime.Now() < gone->second) {
+    return true;
+  }
   if (mCurrent.id.Empty()) {
     return false;
   }
@@ -95,16 +101,21 @@
                            { "current", mCurrent.id.Str() },
                            { "current_sequence", mCurrent.sequence } };
     });
+    bool ofCurrent = received.id == mCurrent.id && received.startedMs == mCurrent.startedMs;
+    if (received.leaving && ofCurrent) {
+      StartLeaving();
+    }
     Respond(aExchange, kOk, mCodec.EncodeAcknowledgement(std::nullopt));
     return;
   }
   bool started = received.id != mCurrent.id || received.startedMs != mCurrent.startedMs;
   bool wasReady = mState == version::upstream_state::kReady;
-  bool wasLeaving = !started && mState == version::upstream_state::kLeaving;
   bool changed = started || received.slots != mCurrent.slots;
   AcknowledgeDeferred();
   mCurrent = received;
   mHeardAt = mRuntime.Now();
+  // Leaving is final for an incarnation of the upstream.
+  mLeaving = received.leaving || (mLeaving && !started);
   if (started) {
     mRuntime.log.Write(line_class::kState, "upstream_started", [&] {
       return common::json{ { "upstream", aId.Str() },
@@ -114,9 +125,7 @@
     });
     mGate.OnUpstreamStarted(received);
   }
-  // Leaving is final for an incarnation of the upstream.
-  bool leaving = received.leaving || wasLeaving;
-  if (leaving) {
+  if (mLeaving) {
     mGate.OnUpstreamLeaving();
     mKeys.HandOffAllKeys();
   } else {
@@ -124,8 +133,8 @@
   }
   mKeys.OnAnnouncement(received);
   // The response to an upstream that leaves or has released keys is not deferred.
-  Acknowledge(aExchange, !leaving && received.released.empty());
-  SetState(leaving ? version::upstream_state::kLeaving : version::upstream_state::kReady);
+  Acknowledge(aExchange, !mLeaving && received.released.empty());
+  SetState(mLeaving ? version::upstream_state::kLeaving : version::upstream_state::kReady);
   if (changed && wasReady) {
     mOnChange();
   }
@@ -160,13 +169,23 @@
                                      const connection::http::server_exchange_ptr& aExchange)
 {
   LogLeaving(aId, "deregistration");
-  Respond(aExchange, kOk, "{}");
-  if (aId != mCurrent.id) {
-    return;
+  if (aId == mCurrent.id) {
+    StartLeaving();
+    AcknowledgeDeferred();
+  } else {
+    // An upstream that has deregistered does not announce itself any more, so an announcement that
+    // arrives now was sent before.
+    std::erase_if(mGoneUntil, [this](const auto& aItem) { return aItem.second <= mRuntime.Now(); });
+    mGoneUntil[aId] = mRuntime.Now() + kMaxAnnouncementDelay;
   }
+  Respond(aExchange, kOk, "{}");
+}
+
+void upstream_registry::StartLeaving()
+{
+  mLeaving = true;
   mGate.OnUpstreamLeaving();
   mKeys.HandOffAllKeys();
-  AcknowledgeDeferred();
   SetState(version::upstream_state::kLeaving);
 }
 
@@ -174,7 +193,7 @@
 void upstream_registry::LogLeaving(const version::upstream_id& aId, const char* aMessage)
 {
   bool current = aId == mCurrent.id;
-  if (current && mState == version::upstream_state::kLeaving) {
+  if (current && mLeaving) {
     return;
   }
   mRuntime.counters.Add(current ? "bamboograde_upstream_leaves_total{current=\"true\"}"
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -33,6 +33,7 @@
   void Acknowledge(const connection::http::server_exchange_ptr& aExchange, bool aMayWait);
   // Responds to the deferred announcement, if there is one.
   void AcknowledgeDeferred();
+  void StartLeaving();
   void LogLeaving(const version::upstream_id& aId, const char* aMessage);
   void SetState(version::upstream_state aState);
   bool IsStale(const announcement& aAnnouncement) const;
@@ -44,6 +45,11 @@
   std::function<void()> mOnChange;
   version::upstream_state mState = version::upstream_state::kAbsent;
   announcement mCurrent;
+  // The current incarnation has announced its shutdown or deregistered.
+  bool mLeaving = false;
+  // Upstreams that deregistered without having been known, and until when their announcements are
+  // taken for late ones.
+  std::map<version::upstream_id, common::boot_time> mGoneUntil;
   common::boot_time mHeardAt;
   // The announcement whose response is deferred until keys arrive.
   connection::http::server_exchange_ptr mDeferred;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -14,6 +14,10 @@
 constexpr common::milliseconds kStartTimeout{ 6000 };
 // Time limit for serving a key again after its owner has failed or left.
 constexpr common::milliseconds kTakeoverTimeout{ 4000 };
+// The daemons' default for bounds.drain_ms.
+constexpr common::milliseconds kDrainTime{ 2000 };
+// Time for a change of a member to reach the other daemons.
+constexpr common::milliseconds kBroadcastTime{ 200 };
 
 void WaitForKeys(fleet_fixture& aFleet)
 {
@@ -35,6 +39,14 @@
   return aFleet.vms.size();
 }
 
+// Kills the daemon and waits until its next process accepts announcements.
+void RestartDaemon(fleet_fixture& aFleet, size_t aVm)
+{
+  aFleet.vms[aVm]->KillDaemon();
+  aFleet.vms[aVm]->StartDaemon();
+  aFleet.RunFor(common::milliseconds(300));
+}
+
 } // namespace
 
 Test(fleet, serves_keyed_and_plain_requests_from_every_vm)
@@ -272,6 +284,27 @@
   cr_assert_eq(fleet.record.runs.size(), before);
 }
 
+// The daemon acknowledged the deregistration of an upstream that it did not know yet and forgot it.
+Test(fleet, an_upstream_that_deregisters_at_a_new_daemon_is_not_used_after_a_late_announcement)
+{
+  fleet_fixture fleet({ "keyed", "plain" });
+  WaitForKeys(fleet);
+  tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
+  upstream.StopAnnouncing();
+  RestartDaemon(fleet, 1);
+  upstream.Deregister();
+  fleet.RunUntil([&upstream] { return upstream.Deregistered(); }, common::milliseconds(1000),
+                 "the acknowledgement");
+  fleet.RunFor(kDrainTime);
+  upstream.DeliverLateAnnouncement();
+  fleet.RunFor(kBroadcastTime);
+  size_t before = fleet.record.runs.size();
+  for (size_t vm : { size_t(0), size_t(1) }) {
+    cr_assert_eq(fleet.SendRequest(vm, "GET", "/plain/x").status, 503, "vm %zu", vm);
+  }
+  cr_assert_eq(fleet.record.runs.size(), before);
+}
+
 // Bodies larger than the buffer for retries are streamed to the upstream.
 Test(fleet, forwards_complete_bodies_of_any_size)
 {
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -75,6 +75,7 @@
   ++mIncarnation;
   mSequence = 0;
   mLeaving = false;
+  mDeregistered = false;
   mHolds.clear();
   mReleased = common::json::array();
   mListener = std::make_unique<connection::http::tcp_listener>(
@@ -111,6 +112,30 @@
 }
 
 void upstream_standin::Announce()
+{
+  mTimer.Arm(mLoop.Now() + mOptions.announcePeriod);
+  SendAnnouncement(mLeaving ? "draining" : "ready");
+}
+
+void upstream_standin::DeliverLateAnnouncement()
+{
+  SendAnnouncement("ready");
+}
+
+void upstream_standin::Deregister()
+{
+  StopAnnouncing();
+  mLeaving = true;
+  mDeregistered = false;
+  connection::http::Fetch(mLoop, mPool,
+                          { mOptions.daemon, "DELETE", "/v1/instances/i-" + mOptions.vm, "",
+                            mLoop.Now() + kAnnounceTimeout },
+                          [this](const connection::http::fetch_result& aResult) {
+                            mDeregistered = aResult.status == 200;
+                          });
+}
+
+void upstream_standin::SendAnnouncement(const char* aState)
 {
   common::json holds = common::json::array();
   for (const version::held_range& held : mHolds) {
@@ -118,16 +143,14 @@
       holds.push_back({ held.range.first, held.range.last, held.token.Value() });
     }
   }
-  common::json body = {
-    { "address", mOptions.address.Str() },
-    { "born", kFirstStartTimeMs + int64_t(mIncarnation) },
-    { "info", { { "service", mOptions.service }, { "slots", mOptions.slots } } },
-    { "status", { { "state", mLeaving ? "draining" : "ready" }, { "callSeq", ++mSequence } } },
-    { "holds", holds },
-    { "freed", mReleased }
-  };
+  common::json body = { { "address", mOptions.address.Str() },
+                        { "born", kFirstStartTimeMs + int64_t(mIncarnation) },
+                        { "info",
+                          { { "service", mOptions.service }, { "slots", mOptions.slots } } },
+                        { "status", { { "state", aState }, { "callSeq", ++mSequence } } },
+                        { "holds", holds },
+                        { "freed", mReleased } };
   common::boot_time now = mLoop.Now();
-  mTimer.Arm(now + mOptions.announcePeriod);
   connection::http::Fetch(
     mLoop, mPool,
     { mOptions.daemon, "PUT", "/v1/instances/i-" + mOptions.vm, common::Dump(body),
@@ -169,7 +192,7 @@
           "from-" + mOptions.vm + "-" + std::to_string(releasedRange.token.Value()) });
     }
   }
-  if (!mReleased.empty()) {
+  if (!mReleased.empty() && mTimer.Armed()) {
     mTimer.Arm(mLoop.Now() +
                std::min<common::milliseconds>(mOptions.announcePeriod / 4, kMaxReleaseDelay));
   }
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -47,6 +47,14 @@
   // Stops listening and announcing, as a crash does. Start() begins a new incarnation.
   void Crash();
   void Leave() { mLeaving = true; }
+  // Goes on serving without announcing itself.
+  void StopAnnouncing() { mTimer.Cancel(); }
+  // Deregisters without announcing the shutdown, and goes on serving without announcing itself.
+  void Deregister();
+  // Whether the last deregistration was acknowledged.
+  bool Deregistered() const { return mDeregistered; }
+  // Delivers an announcement from before the shutdown that was delayed on its way.
+  void DeliverLateAnnouncement();
   // Runs the next requests, but closes their connections without a response.
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
   // Sets how long requests run from now on.
@@ -62,6 +70,7 @@
 
 private:
   void Announce();
+  void SendAnnouncement(const char* aState);
   void OnAcknowledged(const connection::http::fetch_result& aResult, common::boot_time aSentAt);
   void Run(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
   void Finish(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
@@ -82,6 +91,7 @@
   uint64_t mSequence = 0;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
+  bool mDeregistered = false;
 };
 
 } // namespace bamboograde::tests
