Confirm the upstream that a new daemon process hears of first

What callers saw: after a restart of its daemon, an upstream that had deregistered before was sent requests again, 2.1 to 2.4 s after its shutdown had been acknowledged (drain time 2 s). Cause: the acknowledgement was known to the former process only. The new one had nothing to compare a late announcement with and took it as current. The new test an_upstream_that_deregistered_before_a_daemon_restart_is_not_used_afterwards fails on the former code: status 200 instead of 503 from either VM. Change: until an upstream is known to be running, the registry neither uses nor publishes it. It asks the upstream at its health path, with the upstream's id; without such an answer, a second announcement at least half a period later confirms it. Later incarnations are compared with the confirmed one as before. Why it works: a late announcement says what was; the health response says what is. No state has to outlive the process, and the store is not needed. Measured: the test passes; a_running_upstream_is_used_at_its_first_announcement _to_a_new_daemon guards the time after a restart.

--- a/src/process/sidecar/upstream_codec.h
+++ b/src/process/sidecar/upstream_codec.h
@@ -59,6 +59,10 @@
   virtual ~upstream_codec() = default;
   virtual upstream_message Classify(const connection::http::request_head& aHead,
                                     version::upstream_id* aId) const = 0;
+  // Whether the response to a request for the health path comes from aUpstream and says that it is
+  // ready.
+  virtual bool ConfirmsReady(const connection::http::response_head& aHead,
+                             const version::upstream_id& aUpstream) const = 0;
   virtual common::result<announcement> DecodeAnnouncement(const version::upstream_id& aId,
                                                           std::string_view aBody) const = 0;
   // Body of the response to an announcement. Without a grant it does not extend any key.
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -29,13 +29,14 @@
   RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   mUpstream = aAnnouncement.id;
   mService = aAnnouncement.service;
+  mReady = false;
+  mAdmission.SetSlots(aAnnouncement.slots);
   mKeys.clear();
   mPausedKeys.clear();
   mCloseAt = common::boot_time::max();
-  OnUpstreamUpdated(aAnnouncement);
 }
 
-void upstream_gate::OnUpstreamUpdated(const announcement& aAnnouncement)
+void upstream_gate::OnUpstreamReady(const announcement& aAnnouncement)
 {
   mAdmission.SetSlots(aAnnouncement.slots);
   mReady = true;
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -45,9 +45,10 @@
 public:
   upstream_gate(runtime& aRuntime, request::suspect_list& aSuspects);
 
-  // A new incarnation of the upstream has announced itself.
+  // A new incarnation of the upstream has announced itself; it gets requests after
+  // OnUpstreamReady().
   void OnUpstreamStarted(const announcement& aAnnouncement);
-  void OnUpstreamUpdated(const announcement& aAnnouncement);
+  void OnUpstreamReady(const announcement& aAnnouncement);
   // Admits no more requests and refuses the waiting ones. For a keyed service, requests go on until
   // the time of CloseAt().
   void OnUpstreamLeaving();
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -25,6 +25,7 @@
   , mGate(aGate)
   , mKeys(aKeys)
   , mOnChange(std::move(aOnChange))
+  , mProbe(aRuntime, aCodec, [this] { OnConfirmedByProbe(); })
   , mDeferralTimer(aRuntime.loop, [this] { AcknowledgeDeferred(); })
 {
   mKeys.SetKeysReceivedObserver([this] { mDeferralTimer.Arm(mRuntime.Now()); });
@@ -124,17 +125,23 @@
                            { "sequence", received.sequence } };
     });
     mGate.OnUpstreamStarted(received);
+    mConfirmableAt = mHeardAt + mRuntime.settings.announcePeriod / 2;
+    mProbe.Cancel();
+  } else {
+    mConfirmed = mConfirmed || mHeardAt >= mConfirmableAt;
   }
   if (mLeaving) {
     mGate.OnUpstreamLeaving();
     mKeys.HandOffAllKeys();
+  } else if (mConfirmed) {
+    mGate.OnUpstreamReady(received);
   } else {
-    mGate.OnUpstreamUpdated(received);
+    AskForConfirmation();
   }
   mKeys.OnAnnouncement(received);
   // The response to an upstream that leaves or has released keys is not deferred.
   Acknowledge(aExchange, !mLeaving && received.released.empty());
-  SetState(mLeaving ? version::upstream_state::kLeaving : version::upstream_state::kReady);
+  SetState(CurrentState());
   if (changed && wasReady) {
     mOnChange();
   }
@@ -181,6 +188,31 @@
   Respond(aExchange, kOk, "{}");
 }
 
+version::upstream_state upstream_registry::CurrentState() const
+{
+  if (mLeaving) {
+    return version::upstream_state::kLeaving;
+  }
+  return mConfirmed ? version::upstream_state::kReady : version::upstream_state::kAbsent;
+}
+
+void upstream_registry::AskForConfirmation()
+{
+  common::boot_time deadline = mHeardAt + mRuntime.settings.announcePeriod;
+  if (mRuntime.Now() < deadline) {
+    mProbe.Ask(mCurrent, deadline);
+  }
+}
+
+void upstream_registry::OnConfirmedByProbe()
+{
+  mConfirmed = true;
+  if (!mLeaving) {
+    mGate.OnUpstreamReady(mCurrent);
+    SetState(version::upstream_state::kReady);
+  }
+}
+
 void upstream_registry::StartLeaving()
 {
   mLeaving = true;
@@ -220,6 +252,10 @@
 
 void upstream_registry::Tick()
 {
+  if (!mConfirmed && !mLeaving && !mCurrent.id.Empty()) {
+    // The configuration with the health path may have arrived since the announcement.
+    AskForConfirmation();
+  }
   bool silent = mState != version::upstream_state::kAbsent &&
                 mRuntime.Now() > mHeardAt + mRuntime.settings.announcePeriod * kMaxSilentPeriods;
   if (silent) {
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -3,6 +3,7 @@
 
 #include "process/sidecar/key_ownership.h"
 #include "process/sidecar/small_message.h"
+#include "process/sidecar/upstream_probe.h"
 
 namespace bamboograde::process::sidecar {
 
@@ -34,6 +35,11 @@
   // Responds to the deferred announcement, if there is one.
   void AcknowledgeDeferred();
   void StartLeaving();
+  // State of the upstream by its last announcement.
+  version::upstream_state CurrentState() const;
+  // Asks the upstream whether it is ready, unless its last announcement is too old.
+  void AskForConfirmation();
+  void OnConfirmedByProbe();
   void LogLeaving(const version::upstream_id& aId, const char* aMessage);
   void SetState(version::upstream_state aState);
   bool IsStale(const announcement& aAnnouncement) const;
@@ -47,6 +53,13 @@
   announcement mCurrent;
   // The current incarnation has announced its shutdown or deregistered.
   bool mLeaving = false;
+  // An upstream of this VM is known to be running now, so that late messages can be recognized by
+  // their incarnation and sequence. Before, the first announcement may itself be a late one, of an
+  // upstream whose shutdown a former process of this daemon has acknowledged.
+  bool mConfirmed = false;
+  upstream_probe mProbe;
+  // From this time on, a newer announcement confirms an upstream that does not answer the probe.
+  common::boot_time mConfirmableAt;
   // Upstreams that deregistered without having been known, and until when their announcements are
   // taken for late ones.
   std::map<version::upstream_id, common::boot_time> mGoneUntil;
--- a/src/version/route_config.h
+++ b/src/version/route_config.h
@@ -48,6 +48,8 @@
   common::service_name name;
   // Each key of the service is served by the one upstream that holds it.
   bool keyed = false;
+  // Path at which an upstream of the service tells whether it is ready; empty if there is none.
+  std::string healthPath;
   // Connections that an upstream of the service accepts.
   unsigned maxConnections = 0;
 };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -130,6 +130,21 @@
   cr_assert(messages.Classify(head, &id) == process::sidecar::upstream_message::kOther);
 }
 
+Test(upstream_messages, only_a_healthy_response_of_the_same_upstream_confirms_readiness)
+{
+  platform::upstream_messages messages;
+  version::upstream_id id("i-7");
+  response_head head;
+  head.status = 200;
+  cr_assert_not(messages.ConfirmsReady(head, id));
+  head.headers.Add("X-Bamboograde-Instance-Id", "i-8");
+  cr_assert_not(messages.ConfirmsReady(head, id));
+  head.headers.Set("X-Bamboograde-Instance-Id", "i-7");
+  cr_assert(messages.ConfirmsReady(head, id));
+  head.status = 503;
+  cr_assert_not(messages.ConfirmsReady(head, id));
+}
+
 Test(config_document, reads_routes_services_and_limits)
 {
   platform::config_document document;
@@ -138,7 +153,7 @@
       "priority":2,"maxAttempts":3,"weightedServices":[{"service":"x","weight":90},
       {"service":"y","weight":10}]},
       "r2":{"host":"h","prefix":"/b/","kind":"unsafe","service":"x"}},
-    "services":{"x":{"sharded":true,"maxConns":120},"y":{}},
+    "services":{"x":{"sharded":true,"maxConns":120,"healthPath":"/up"},"y":{}},
     "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":4000}})"));
   cr_assert(decoded.has_value());
   const auto& config = *decoded.assume_value();
@@ -148,6 +163,7 @@
   cr_assert_eq(route->maxAttempts, 3U);
   cr_assert_not(config.Find("h", "/b/")->idempotent);
   cr_assert(config.Service(common::service_name("x"))->keyed);
+  cr_assert(config.Service(common::service_name("x"))->healthPath == "/up");
   cr_assert_eq(config.Callers().idleTimeout.count(), 4000);
 }
 
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -163,13 +163,13 @@
   if (!aExtraRoutePrefix.empty()) {
     routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain");
   }
-  table.Put(
-    "op", "config",
-    { { "version", aVersion },
-      { "routes", routes },
-      { "services",
-        { { kKeyedService, { { "sharded", true } } }, { "plain", common::json::object() } } },
-      { "limits", { { "idleTimeoutMs", 5000 } } } });
+  table.Put("op", "config",
+            { { "version", aVersion },
+              { "routes", routes },
+              { "services",
+                { { kKeyedService, { { "sharded", true }, { "healthPath", "/health" } } },
+                  { "plain", { { "healthPath", "/health" } } } } },
+              { "limits", { { "idleTimeoutMs", 5000 } } } });
 }
 
 void fleet_fixture::RunFor(common::milliseconds aTime)
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -305,6 +305,50 @@
   cr_assert_eq(fleet.record.runs.size(), before);
 }
 
+// The new daemon process knew nothing of the deregistration that the former one had acknowledged.
+Test(fleet, an_upstream_that_deregistered_before_a_daemon_restart_is_not_used_afterwards)
+{
+  fleet_fixture fleet({ "keyed", "plain" });
+  WaitForKeys(fleet);
+  tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
+  upstream.Deregister();
+  fleet.RunUntil([&upstream] { return upstream.Deregistered(); }, common::milliseconds(1000),
+                 "the acknowledgement");
+  RestartDaemon(fleet, 1);
+  fleet.RunFor(kDrainTime);
+  upstream.DeliverLateAnnouncement();
+  fleet.RunFor(kBroadcastTime);
+  size_t before = fleet.record.runs.size();
+  for (size_t vm : { size_t(0), size_t(1) }) {
+    cr_assert_eq(fleet.SendRequest(vm, "GET", "/plain/x").status, 503, "vm %zu", vm);
+  }
+  cr_assert_eq(fleet.record.runs.size(), before);
+}
+
+// Waiting for a second announcement would cost a whole period after each restart of a daemon.
+Test(fleet, a_running_upstream_is_used_at_its_first_announcement_to_a_new_daemon)
+{
+  constexpr common::milliseconds kPeriod{ 900 };
+  fleet_fixture fleet({ "keyed", "plain" }, kPeriod);
+  WaitForKeys(fleet);
+  tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
+  upstream.StopAnnouncing();
+  RestartDaemon(fleet, 1);
+  upstream.DeliverLateAnnouncement();
+  fleet.RunUntil([&fleet] { return fleet.SendRequest(1, "GET", "/plain/x").status == 200; },
+                 kPeriod / 3, "a response");
+}
+
+Test(fleet, an_upstream_without_a_health_response_is_used_at_its_second_announcement)
+{
+  fleet_fixture fleet({ "keyed", "plain" });
+  WaitForKeys(fleet);
+  fleet.vms[1]->upstream->SetHealthAnswered(false);
+  RestartDaemon(fleet, 1);
+  fleet.RunUntil([&fleet] { return fleet.SendRequest(1, "GET", "/plain/x").status == 200; },
+                 common::milliseconds(500), "a response");
+}
+
 // Bodies larger than the buffer for retries are streamed to the upstream.
 Test(fleet, forwards_complete_bodies_of_any_size)
 {
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -198,8 +198,24 @@
   }
 }
 
+void upstream_standin::RespondHealth(const server_exchange_ptr& aExchange)
+{
+  if (!mHealthAnswered) {
+    mUnanswered.push_back(aExchange);
+    return;
+  }
+  connection::http::response_head head;
+  head.status = mLeaving ? 503 : 200;
+  head.headers.Add("X-Bamboograde-Instance-Id", "i-" + mOptions.vm);
+  aExchange->Respond(head, "");
+}
+
 void upstream_standin::OnRequest(const server_exchange_ptr& aExchange)
 {
+  if (aExchange->Head().target == "/health") {
+    RespondHealth(aExchange);
+    return;
+  }
   std::string id = HeaderOf(aExchange, "X-Bamboograde-Request-Id");
   std::string key = HeaderOf(aExchange, "X-Bamboograde-Shard-Key");
   connection::http::response_head refusal;
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -55,6 +55,8 @@
   bool Deregistered() const { return mDeregistered; }
   // Delivers an announcement from before the shutdown that was delayed on its way.
   void DeliverLateAnnouncement();
+  // Whether requests for the health path get a response.
+  void SetHealthAnswered(bool aAnswered) { mHealthAnswered = aAnswered; }
   // Runs the next requests, but closes their connections without a response.
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
   // Sets how long requests run from now on.
@@ -72,6 +74,7 @@
   void Announce();
   void SendAnnouncement(const char* aState);
   void OnAcknowledged(const connection::http::fetch_result& aResult, common::boot_time aSentAt);
+  void RespondHealth(const connection::http::server_exchange_ptr& aExchange);
   void Run(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
   void Finish(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
 
@@ -92,6 +95,9 @@
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
   bool mDeregistered = false;
+  bool mHealthAnswered = true;
+  // Exchanges of requests for the health path that get no response.
+  std::vector<connection::http::server_exchange_ptr> mUnanswered;
 };
 
 } // namespace bamboograde::tests
