Send no admitted request after the gate's closing time

A request could reach an upstream after its drain time and be lost when the upstream ended. Cause: the gate compared the closing time on admission only. A request whose connection was still being established was sent whenever that succeeded, up to its own deadline, and a slot that became free between the closing time and the next tick went to a queued request. Evidence: both new gate tests fail on the former code: the queued request is admitted after the closing time; with a full accept queue the request's bytes arrive at the second opening packet, 0.8 s after the closing time. Change: client_call::SendBy() ends a call of which nothing was sent by a deadline. The gate tells admitted requests its closing time, and refuses queued and parked ones whenever it looks at them after it. Why it works: the deadline is compared when the connection is established, also by a late loop, so no byte of a request leaves the daemon after it. The caller gets another attempt or a truthful rejection.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -13,6 +13,7 @@
 // How long before the idle timeout announced by the server a connection is no longer reused.
 constexpr common::milliseconds kIdleTimeoutMargin{ 1000 };
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+constexpr char kConnectTimedOut[] = "connect timed out";
 constexpr int kContinueStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 
@@ -43,7 +44,7 @@
   , mTarget(aTarget)
   , mConnectTimer(aLoop, [this] {
     boost::intrusive_ptr<client_connection> self(this);
-    Fail("connect timed out", false);
+    Fail(kConnectTimedOut, false);
   })
 {
   mStream = tcp_stream::Connect(aLoop, *this, aTarget);
@@ -78,6 +79,17 @@
   mStream->Write(message);
 }
 
+void client_connection::SendBy(common::boot_time aDeadline)
+{
+  if (mStream->Connected()) {
+    return;
+  }
+  mSendBy = std::min(mSendBy, aDeadline);
+  if (mSendBy < mConnectTimer.Deadline()) {
+    mConnectTimer.Arm(mSendBy);
+  }
+}
+
 void client_connection::SendBody(std::string_view aBytes)
 {
   if (aBytes.empty()) {
@@ -103,6 +115,11 @@
 void client_connection::OnConnected()
 {
   mConnectTimer.Cancel();
+  // In an iteration of the loop the events come before the timers, so the timer may be due as well.
+  if (mLoop.Now() >= mSendBy) {
+    Fail(kConnectTimedOut, false);
+    return;
+  }
   ++mPool->mConnects;
   // The stream sends what StartCall() has buffered when the socket is writable.
 }
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -21,6 +21,8 @@
                  bool aBodyComplete, common::boot_time aConnectDeadline);
   void SendBody(std::string_view aBytes);
   void FinishBody();
+  // Ends the call if the connection is not established before aDeadline.
+  void SendBy(common::boot_time aDeadline);
   bool Congested() const { return mStream->PendingBytes() > tcp_stream::kHighWaterMarkBytes; }
   bool HasSentBytes() const { return mStream->SentBytes() > mSentBytesAtStart; }
   void PauseReading() { mStream->PauseReading(); }
@@ -51,6 +53,8 @@
   tcp_stream_ptr mStream;
   client_call_ptr mCall;
   std::unique_ptr<response_parser> mParser;
+  // No request is sent on a connection that is established later.
+  common::boot_time mSendBy = common::boot_time::max();
   loop_timer mConnectTimer;
   common::boot_time mReusableUntil;
   // The response that is being read is a late one to an earlier call and is skipped.
--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -32,6 +32,13 @@
   return mConnection != nullptr && mConnection->Congested();
 }
 
+void client_call::SendBy(common::boot_time aDeadline)
+{
+  if (mConnection != nullptr) {
+    mConnection->SendBy(aDeadline);
+  }
+}
+
 void client_call::PauseResponse()
 {
   if (mConnection != nullptr) {
--- a/src/connection/http/client_pool.h
+++ b/src/connection/http/client_pool.h
@@ -59,6 +59,9 @@
   // The unsent request body exceeds tcp_stream::kHighWaterMarkBytes. Wait for OnCallWritable()
   // before sending more.
   bool Congested() const;
+  // Ends the call as not sent if no byte of the request was sent before aDeadline. The earliest of
+  // several deadlines applies.
+  void SendBy(common::boot_time aDeadline);
   void PauseResponse();
   void ResumeResponse();
   // Closes the connection, so that the server can stop processing. The observer is not notified.
--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -48,10 +48,18 @@
   mRuntime.headers.WriteUpstream(facts, &mHead.headers);
   mOverdueTimer.Arm(mFacts.deadline + kOverdueMargin);
   mCall = mRuntime.pool.Send(mGate.Address(), mHead, mBody, mBodyDone, mFacts.deadline, this);
+  mCall->SendBy(mGate.ClosesAt());
   mBody.clear();
   mBody.shrink_to_fit();
 }
 
+void local_attempt::OnClosing(common::boot_time aTime)
+{
+  if (mCall != nullptr) {
+    mCall->SendBy(aTime);
+  }
+}
+
 void local_attempt::OnAdmissionRefused(const request::attempt_refusal& aRefusal)
 {
   request::attempt_ptr self(this);
--- a/src/process/sidecar/local_attempt.h
+++ b/src/process/sidecar/local_attempt.h
@@ -28,6 +28,7 @@
 private:
   // gate_client
   void OnAdmitted() override;
+  void OnClosing(common::boot_time aTime) override;
   void OnAdmissionRefused(const request::attempt_refusal& aRefusal) override;
   // call_observer
   bool IsOwnResponse(const connection::http::response_head& aHead) override;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -67,6 +67,11 @@
                          { "running", mAdmission.Running() },
                          { "waiting", mAdmission.Waiting() + mParked.size() } };
   });
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.admitted) {
+      entry.client->OnClosing(mCloseAt);
+    }
+  }
 }
 
 void upstream_gate::OnUpstreamLeaving()
@@ -220,6 +225,10 @@
 void upstream_gate::StartNext()
 {
   common::boot_time now = mRuntime.Now();
+  if (Closed()) {
+    RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
+    return;
+  }
   for (auto id = mAdmission.Next(now); id.has_value(); id = mAdmission.Next(now)) {
     admission_entry& next = mEntries[*id];
     gate_client* client = next.client;
@@ -245,7 +254,9 @@
   common::boot_time now = mRuntime.Now();
   for (const parked_request& item : waiting) {
     key_status answer = StatusOf(*item.facts.key);
-    if (answer == key_status::kHeld) {
+    if (Closed()) {
+      Refuse(item.client, request::attempt_refusal_reason::kNoUpstream);
+    } else if (answer == key_status::kHeld) {
       Admit(item.facts, item.client);
     } else if (answer == key_status::kNotOwned || now >= item.until) {
       Refuse(item.client, request::attempt_refusal_reason::kNotOwner);
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -20,6 +20,8 @@
   virtual ~gate_client() = default;
   // The request may be sent to the upstream now. The slot is occupied until Finish().
   virtual void OnAdmitted() = 0;
+  // An admitted request must not be sent from aTime on, unless a part of it was sent before.
+  virtual void OnClosing(common::boot_time aTime) = 0;
   // The request is not admitted; no part of it was sent.
   virtual void OnAdmissionRefused(const request::attempt_refusal& aRefusal) = 0;
 };
@@ -55,6 +57,8 @@
   void OnUpstreamLost();
   // From aTime on, no request is sent to this incarnation of the upstream.
   void CloseAt(common::boot_time aTime);
+  // The time set by CloseAt(), or the end of time.
+  common::boot_time ClosesAt() const { return mCloseAt; }
 
   // Sets the keys that the upstream holds until aUntil; replaces the previous ones.
   void SetKeys(std::vector<version::held_range> aRanges, common::boot_time aUntil);
--- a/tests/connection/http/client_pool_test.cpp
+++ b/tests/connection/http/client_pool_test.cpp
@@ -204,6 +204,26 @@
   cr_assert(observer.error.failure == call_failure::kUnknown);
 }
 
+// The loop handles the established connection before the timer that is due as well.
+Test(client_pool, a_request_is_not_sent_after_its_deadline_by_a_late_loop)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  request_head head;
+  head.method = "GET";
+  head.target = "/";
+  common::boot_time now = fixture.base.Loop().Now();
+  client_call_ptr call =
+    fixture.pool.Send(fixture.peer.Address(), head, "", true, now + kLoopTime * 100, &observer);
+  call->SendBy(now + kLoopTime);
+  usleep(useconds_t(common::microseconds(kLoopTime * 2).count()));
+  fixture.base.RunFor(kLoopTime);
+  cr_assert_eq(fixture.peer.fds.size(), 1U);
+  cr_assert(http_fixture::Receive(fixture.peer.fds[0]).empty());
+  cr_assert_eq(observer.failures, 1);
+  cr_assert(observer.error.failure == call_failure::kNotSent);
+}
+
 Test(client_pool, a_cancelled_call_closes_its_connection)
 {
   client_fixture fixture;
--- /dev/null
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -0,0 +1,162 @@
+#include "process/sidecar/local_attempt.h"
+#include "process/sidecar/sidecar_fixture.h"
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace bamboograde;
+using namespace bamboograde::process::sidecar;
+
+namespace {
+
+constexpr char kService[] = "plain";
+constexpr common::milliseconds kRequestTimeout{ 3000 };
+
+class recording_client : public gate_client
+{
+public:
+  void OnAdmitted() override { admitted = true; }
+  void OnClosing(common::boot_time /*aTime*/) override {}
+  void OnAdmissionRefused(const request::attempt_refusal& /*aRefusal*/) override { refused = true; }
+
+  bool admitted = false;
+  bool refused = false;
+};
+
+class recording_observer : public request::attempt_observer
+{
+public:
+  void OnAttemptHead(connection::http::response_head& /*aHead*/) override {}
+  void OnAttemptBody(std::string_view /*aBytes*/) override {}
+  void OnAttemptEnd() override { ended = true; }
+  void OnAttemptRefused(const request::attempt_refusal& /*aRefusal*/) override { refused = true; }
+  void OnAttemptFailed(const request::attempt_failure& /*aFailure*/) override { failed = true; }
+
+  bool ended = false;
+  bool refused = false;
+  bool failed = false;
+};
+
+// Accepts no connection until Accept(). Its queue of new connections is full, so a further
+// connection is established only when the kernel repeats its opening packet, a second later.
+class full_listener
+{
+public:
+  full_listener()
+    : mListener(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    mAddress.sin_family = AF_INET;
+    mAddress.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(mAddress);
+    cr_assert_eq(bind(mListener, reinterpret_cast<sockaddr*>(&mAddress), size), 0);
+    cr_assert_eq(listen(mListener, 0), 0);
+    getsockname(mListener, reinterpret_cast<sockaddr*>(&mAddress), &size);
+    for (int i = 0; i < 4; ++i) {
+      mFillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void)connect(mFillers.back(), reinterpret_cast<const sockaddr*>(&mAddress), size);
+    }
+  }
+  ~full_listener()
+  {
+    for (int fd : mFillers) {
+      close(fd);
+    }
+    close(mListener);
+  }
+  common::endpoint Address() const
+  {
+    return common::endpoint("127.0.0.1:" + std::to_string(ntohs(mAddress.sin_port)));
+  }
+  // Accepts the waiting connections and returns the bytes that have arrived on all of them.
+  size_t Accept()
+  {
+    size_t bytes = 0;
+    for (;;) {
+      int fd = accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK);
+      if (fd < 0) {
+        break;
+      }
+      mFillers.push_back(fd);
+    }
+    for (int fd : mFillers) {
+      char buffer[4096];
+      ssize_t count = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+      bytes += count > 0 ? size_t(count) : 0;
+    }
+    return bytes;
+  }
+  void SetNonBlocking() { (void)fcntl(mListener, F_SETFL, O_NONBLOCK); }
+
+private:
+  int mListener;
+  sockaddr_in mAddress{};
+  std::vector<int> mFillers;
+};
+
+struct gate_fixture
+{
+  gate_fixture()
+    : base("127.0.0.1")
+    , gate(base.runtime, suspects)
+  {
+    upstream.id = version::upstream_id("i-1");
+    upstream.service = common::service_name(kService);
+    upstream.slots = 1;
+    gate.OnUpstreamStarted(upstream);
+    gate.OnUpstreamReady(upstream);
+    facts.service = upstream.service;
+    facts.deadline = base.runtime.Now() + kRequestTimeout;
+    facts.target = facts.deadline;
+  }
+  void RunFor(common::milliseconds aTime)
+  {
+    connection::http::loop_timer end(base.loop, [this] { base.loop.Quit(); });
+    end.Arm(base.loop.Now() + aTime);
+    base.loop.Run();
+  }
+
+  tests::sidecar_fixture base;
+  request::suspect_list suspects;
+  upstream_gate gate;
+  announcement upstream;
+  request::request_facts facts;
+};
+
+} // namespace
+
+// A slot that is freed after the closing time was given to the next request in the queue.
+Test(upstream_gate, a_waiting_request_is_refused_when_a_slot_is_freed_after_the_closing_time)
+{
+  gate_fixture fixture;
+  recording_client running;
+  recording_client waiting;
+  fixture.gate.Submit(fixture.facts, &running);
+  fixture.gate.Submit(fixture.facts, &waiting);
+  cr_assert(running.admitted && !waiting.admitted && !waiting.refused);
+  fixture.gate.CloseAt(fixture.base.runtime.Now());
+  fixture.gate.Finish(&running, upstream_outcome::kServed);
+  cr_assert_not(waiting.admitted);
+  cr_assert(waiting.refused);
+}
+
+// A request whose connection to the upstream took long was sent as soon as it was established.
+Test(upstream_gate, a_request_is_not_sent_on_a_connection_established_after_the_closing_time)
+{
+  full_listener listener;
+  listener.SetNonBlocking();
+  gate_fixture fixture;
+  fixture.base.settings.upstream = listener.Address();
+  recording_observer observer;
+  request::attempt_ptr attempt(
+    new local_attempt(fixture.base.runtime, fixture.gate, {}, fixture.facts, &observer));
+  attempt->Start("", true);
+  fixture.gate.CloseAt(fixture.base.runtime.Now() + common::milliseconds(200));
+  fixture.RunFor(common::milliseconds(400));
+  listener.Accept();
+  fixture.RunFor(common::milliseconds(1500));
+  cr_assert_eq(listener.Accept(), 0U);
+  cr_assert(observer.refused);
+}
