Keep the gate of a stopping daemon closed for a new incarnation

Cause: the closing time of the leaving upstream and that of the stopping daemon were one value, and a new incarnation of the upstream reset it. A message about one life thus revoked what was decided about another. Change: the gate keeps the end of the incarnation's drain time and the time at which the daemon stops apart; the earlier one closes it. Why it works: a new incarnation resets only what belongs to the former one.

--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -372,7 +372,7 @@
   mLog.Write(line_class::kState, "stopping", [] { return common::json::object(); });
   // The local upstream is sent requests for half of the grace time; they have the other half to
   // finish.
-  mGate.CloseAt(now + mSettings.bounds.grace / 2);
+  mGate.StopAt(now + mSettings.bounds.grace / 2);
   PublishMember();
   mKeys.HandOffAllKeys();
 }
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -33,7 +33,7 @@
   mAdmission.SetSlots(aAnnouncement.slots);
   mKeys.clear();
   mPausedKeys.clear();
-  mCloseAt = common::boot_time::max();
+  mDrainedAt = common::boot_time::max();
 }
 
 void upstream_gate::OnUpstreamReady(const announcement& aAnnouncement)
@@ -54,12 +54,17 @@
   mBrokenRequests.clear();
 }
 
-void upstream_gate::CloseAt(common::boot_time aTime)
+void upstream_gate::StopAt(common::boot_time aTime)
 {
-  if (aTime >= mCloseAt) {
+  Close(&mStopAt, aTime);
+}
+
+void upstream_gate::Close(common::boot_time* aClosingTime, common::boot_time aTime)
+{
+  if (aTime >= *aClosingTime) {
     return;
   }
-  mCloseAt = aTime;
+  *aClosingTime = aTime;
   mRuntime.log.Write(line_class::kState, "gate_closes", [&] {
     auto left = std::chrono::duration_cast<common::milliseconds>(aTime - mRuntime.Now());
     return common::json{ { "upstream", mUpstream.Str() },
@@ -69,7 +74,7 @@
   });
   for (const auto& [id, entry] : mEntries) {
     if (entry.admitted) {
-      entry.client->OnClosing(mCloseAt);
+      entry.client->OnClosing(ClosesAt());
     }
   }
 }
@@ -77,7 +82,7 @@
 void upstream_gate::OnUpstreamLeaving()
 {
   mReady = false;
-  CloseAt(mRuntime.Now() + mRuntime.settings.bounds.drain - kDrainMargin);
+  Close(&mDrainedAt, mRuntime.Now() + mRuntime.settings.bounds.drain - kDrainMargin);
   if (!mRuntime.fleet.IsKeyed(mService)) {
     RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   }
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -52,13 +52,13 @@
   void OnUpstreamStarted(const announcement& aAnnouncement);
   void OnUpstreamReady(const announcement& aAnnouncement);
   // Admits no more requests and refuses the waiting ones. For a keyed service, requests go on until
-  // the time of CloseAt().
+  // the end of the drain time.
   void OnUpstreamLeaving();
   void OnUpstreamLost();
-  // From aTime on, no request is sent to this incarnation of the upstream.
-  void CloseAt(common::boot_time aTime);
-  // The time set by CloseAt(), or the end of time.
-  common::boot_time ClosesAt() const { return mCloseAt; }
+  // The daemon stops: from aTime on, no request is sent to any incarnation of the upstream.
+  void StopAt(common::boot_time aTime);
+  // From when on no request is sent to this incarnation of the upstream.
+  common::boot_time ClosesAt() const { return std::min(mDrainedAt, mStopAt); }
 
   // Sets the keys that the upstream holds until aUntil; replaces the previous ones.
   void SetKeys(std::vector<version::held_range> aRanges, common::boot_time aUntil);
@@ -109,7 +109,9 @@
     kNotOwned,
   };
 
-  bool Closed() const { return mRuntime.Now() >= mCloseAt; }
+  bool Closed() const { return mRuntime.Now() >= ClosesAt(); }
+  // Sets one of the closing times, unless it is set to an earlier time.
+  void Close(common::boot_time* aClosingTime, common::boot_time aTime);
   key_status StatusOf(uint32_t aKey) const;
   bool OwnedHere(uint32_t aKey) const;
   void Admit(const request::request_facts& aFacts, gate_client* aClient);
@@ -127,7 +129,9 @@
   version::upstream_id mUpstream;
   common::service_name mService;
   bool mReady = false;
-  common::boot_time mCloseAt = common::boot_time::max();
+  // End of the drain time of the current incarnation.
+  common::boot_time mDrainedAt = common::boot_time::max();
+  common::boot_time mStopAt = common::boot_time::max();
   std::vector<version::held_range> mKeys;
   common::boot_time mKeysUntil;
   std::vector<version::key_range> mPausedKeys;
