Read a bounded amount of input of a connection at each event

Cause: a stream was read until the kernel had no more. A peer that sends as fast as the daemon reads kept it in that loop: no other connection was served and no timer fired, so not even the deadline of the request ended it. Evidence: the new test fails on the former code. The poll is level-triggered, so the rest comes with the next turn. Why it works: the time of a turn is bounded by the number of ready connections.

--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr size_t kReadChunkBytes = size_t(32) * 1024;
+// Input read at one event; more stays in the kernel, so that other connections and timers get their
+// turn.
+constexpr size_t kMaxReadBytes = tcp_stream::kHighWaterMarkBytes;
 constexpr int kListenBacklog = 1024;
 // The kernel closes a connection whose output stays unacknowledged this long, since the peer's host
 // is down or unreachable.
@@ -158,9 +161,11 @@
 void tcp_stream::Read()
 {
   std::array<char, kReadChunkBytes> chunk;
-  while (!mReadPaused && mFd >= 0 && !mEnded) {
+  size_t total = 0;
+  while (!mReadPaused && mFd >= 0 && !mEnded && total < kMaxReadBytes) {
     ssize_t count = recv(mFd, chunk.data(), chunk.size(), 0);
     if (count > 0) {
+      total += size_t(count);
       mInput.append(chunk.data(), size_t(count));
       mOwner->OnInput();
       if (size_t(count) < chunk.size()) {
--- a/tests/connection/http/client_pool_test.cpp
+++ b/tests/connection/http/client_pool_test.cpp
@@ -1,5 +1,8 @@
 #include "connection/http/http_fixture.h"
 
+#include <atomic>
+#include <thread>
+
 using namespace bamboograde;
 using namespace bamboograde::connection::http;
 using tests::http_fixture;
@@ -7,6 +10,8 @@
 namespace {
 
 constexpr common::milliseconds kLoopTime{ 20 };
+// A daemon whose loop is later than this logs it.
+constexpr common::milliseconds kLongestDelay{ 250 };
 
 // Server end of the connections; the test writes the response bytes.
 class raw_peer
@@ -204,6 +209,43 @@
   cr_assert(observer.error.failure == call_failure::kUnknown);
 }
 
+// A server that never stops sending must not keep the loop from its timers and other connections.
+Test(client_pool, an_endless_response_does_not_delay_timers)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Get(&observer);
+  http_fixture::Send(fixture.peer.fds[0], "HTTP/1.1 200 OK\r\n\r\n");
+  int fd = fixture.peer.fds[0];
+  std::atomic<bool> stop = false;
+  std::vector<std::thread> senders;
+  for (int i = 0; i < 2; ++i) {
+    senders.emplace_back([fd, &stop] {
+      std::string block(64 * 1024, 'x');
+      while (!stop) {
+        (void)send(fd, block.data(), block.size(), MSG_NOSIGNAL);
+      }
+    });
+  }
+  common::boot_time last = fixture.base.Loop().Now();
+  common::microseconds longest{ 0 };
+  loop_timer timer(fixture.base.Loop(), [&] {
+    common::boot_time now = fixture.base.Loop().Now();
+    longest = std::max(longest, std::chrono::duration_cast<common::microseconds>(now - last));
+    last = now;
+    observer.body.clear();
+    timer.Arm(now + kLoopTime / 4);
+  });
+  timer.Arm(last);
+  fixture.base.RunFor(kLoopTime * 25);
+  stop = true;
+  call->Cancel();
+  for (std::thread& sender : senders) {
+    sender.join();
+  }
+  cr_assert_lt(longest, kLongestDelay, "%ld us", long(longest.count()));
+}
+
 // The loop handles the established connection before the timer that is due as well.
 Test(client_pool, a_request_is_not_sent_after_its_deadline_by_a_late_loop)
 {
