Bound the framing lines of a chunked body

Cause: the header limit applied to the head only. The line before a chunk and the trailer were waited for without a limit, and unparsed input stays in the connection's buffer: a response (or a request) with a line that does not end took memory until its deadline or the end of the process. Evidence: rejects_framing_lines_of_a_body_that_do_not_end fails on the former code for a chunk extension, a trailer and a chunk size. Change: more unparsed bytes than the header limit are malformed after the head as well. Why it works: every state of the parser either consumes its input or has a limit.

--- a/src/connection/http/message_parser.cpp
+++ b/src/connection/http/message_parser.cpp
@@ -126,10 +126,13 @@
     }
   }
 
+  // Unused bytes are the beginning of the head or, after it, of a framing line of a chunked body.
   parse_status IncompleteStatus(size_t aUnused) const
   {
-    bool tooLarge = !this->is_header_done() && aUnused > mHeaderLimit;
-    return tooLarge ? parse_status::kHeaderTooLarge : parse_status::kNeedMore;
+    if (aUnused <= mHeaderLimit) {
+      return parse_status::kNeedMore;
+    }
+    return this->is_header_done() ? parse_status::kMalformed : parse_status::kHeaderTooLarge;
   }
 
   static parse_status ToParseStatus(const beast_code& aCode)
--- a/tests/connection/http/message_parser_test.cpp
+++ b/tests/connection/http/message_parser_test.cpp
@@ -119,6 +119,30 @@
                parse_status::kComplete);
 }
 
+// Unparsed bytes stay in the connection's buffer, so a line without an end must not be waited for.
+Test(message_parser, rejects_framing_lines_of_a_body_that_do_not_end)
+{
+  constexpr size_t kStep = 1000;
+  parse_limits limits{ 8000, 0 };
+  for (const char* start :
+       { "1;extension=", "0\r\nTrailer: ", "3\r\nabc\r\n2;", "00000000000000" }) {
+    std::string body = start + std::string(100000, '0');
+    recording_sink sink;
+    std::string rest;
+    response_parser response(limits, false);
+    cr_assert_eq(FeedInSteps(response,
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body, kStep,
+                             sink, &rest),
+                 parse_status::kMalformed, "%s", start);
+    request_parser request(limits);
+    cr_assert_eq(
+      FeedInSteps(request,
+                  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body, kStep,
+                  sink, &rest),
+      parse_status::kMalformed, "%s", start);
+  }
+}
+
 Test(message_parser, a_response_without_length_ends_with_its_connection)
 {
   response_parser parser({}, false);
