Bound the responses that a connection skips before the response to a call

Cause: informational responses and late responses to other requests were skipped without a limit, so a server that sends them without end kept the caller waiting until its deadline. Evidence: endless_responses_of_others_end_the_call fails on the former code: after 2 MiB of such responses the call had not ended. Change: after 1 MiB the call fails as one whose effect is not known. Why it works: an idempotent request gets another attempt while it has time; any other gets a truthful 502 instead of a 504 at its deadline.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -13,6 +13,8 @@
 // How long before the idle timeout announced by the server a connection is no longer reused.
 constexpr common::milliseconds kIdleTimeoutMargin{ 1000 };
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// Maximum size of the informational and skipped responses before the response to a call.
+constexpr size_t kMaxForeignBytes = size_t(1024) * 1024;
 constexpr char kConnectTimedOut[] = "connect timed out";
 constexpr int kContinueStatus = 100;
 constexpr int kFirstFinalStatus = 200;
@@ -59,6 +61,7 @@
   mParser = std::make_unique<response_parser>(parse_limits{ kMaxResponseHeaderBytes, 0 },
                                               aCall->mIsHeadRequest);
   mSkipsResponse = false;
+  mForeignBytes = 0;
   mRequestComplete = false;
   std::string message = SerializeRequest(aHead);
   if (!aBody.empty() && aCall->mFraming == body_framing::kChunked) {
@@ -138,6 +141,11 @@
     size_t taken = 0;
     parse_status status = mParser->Feed(std::string_view(input).substr(used), *this, &taken);
     used += taken;
+    mForeignBytes += mSkipsResponse || mInformational ? taken : 0;
+    if (mCall != nullptr && mForeignBytes > kMaxForeignBytes) {
+      Fail("too many bytes before the response", false);
+      return;
+    }
     if (status == parse_status::kNeedMore) {
       break;
     }
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -66,6 +66,8 @@
   // Value of the stream's byte counter when the current call started.
   uint64_t mSentBytesAtStart = 0;
   bool mInformational = false;
+  // Bytes of informational and skipped responses during the current call.
+  size_t mForeignBytes = 0;
 };
 
 } // namespace bamboograde::connection::http
--- a/tests/connection/http/client_pool_test.cpp
+++ b/tests/connection/http/client_pool_test.cpp
@@ -209,6 +209,29 @@
   cr_assert(observer.error.failure == call_failure::kUnknown);
 }
 
+// Informational responses and responses to other requests must not be skipped without end.
+Test(client_pool, endless_responses_of_others_end_the_call)
+{
+  for (const char* response :
+       { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok",
+         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9000000\r\n\r\n" }) {
+    client_fixture fixture;
+    recording_observer observer;
+    observer.ownId = "8";
+    auto call = fixture.Get(&observer);
+    std::string block;
+    while (block.size() < 64 * 1024) {
+      block.append(response);
+    }
+    for (int i = 0; i < 32 && observer.failures == 0; ++i) {
+      fixture.Respond(0, block);
+    }
+    cr_assert_eq(observer.failures, 1, "%s", response);
+    cr_assert(observer.error.failure == call_failure::kUnknown);
+    cr_assert_eq(observer.status, 0);
+  }
+}
+
 // A server that never stops sending must not keep the loop from its timers and other connections.
 Test(client_pool, an_endless_response_does_not_delay_timers)
 {
