Cut off endless bodies that the daemon does not need

Cause: the body of a response that says that the request did not run was dropped until it ended, so the caller learned of it at the deadline only. Fetch() went on reading a response that was larger than its limit. Change: after 64 KiB of such a body the connection is closed and the request is refused; Fetch() ends at its limit. Why it works: the outcome is known from the head, and closing the connection stops the sender.

--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -40,19 +40,15 @@
   void OnCallBody(std::string_view aBytes) override
   {
     if (mResult.body.size() + aBytes.size() > kMaxBodyBytes) {
-      mBodyTooLarge = true;
-      return;
-    }
-    mResult.body.append(aBytes);
-  }
-  void OnCallEnd() override
-  {
-    if (mBodyTooLarge) {
       mResult.status = 0;
       mResult.error.reason = "response too large";
+      mCall->Cancel();
+      Finish();
+      return;
     }
-    Finish();
+    mResult.body.append(aBytes);
   }
+  void OnCallEnd() override { Finish(); }
   void OnCallFailed(const call_error& aError) override
   {
     mResult.status = 0;
@@ -86,7 +82,6 @@
   loop_timer mTimer;
   client_call_ptr mCall;
   fetch_result mResult;
-  bool mBodyTooLarge = false;
 };
 
 } // namespace
--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -10,6 +10,8 @@
 // deadline, the request is considered lost.
 constexpr common::milliseconds kOverdueMargin{ 150 };
 constexpr int kFirstServerError = 500;
+// Larger bodies of a response that says that the request did not run are cut off.
+constexpr size_t kMaxNotRunBodyBytes = size_t(64) * 1024;
 
 } // namespace
 
@@ -153,7 +155,13 @@
 
 void local_attempt::OnCallBody(std::string_view aBytes)
 {
-  if (mObserver != nullptr && !mNotRun) {
+  if (mNotRun) {
+    mNotRunBodyBytes += aBytes.size();
+    if (mNotRunBodyBytes > kMaxNotRunBodyBytes && mCall != nullptr) {
+      mCall->Cancel();
+      OnCallEnd();
+    }
+  } else if (mObserver != nullptr) {
     mObserver->OnAttemptBody(aBytes);
   }
 }
--- a/src/process/sidecar/local_attempt.h
+++ b/src/process/sidecar/local_attempt.h
@@ -53,6 +53,7 @@
   std::string mBody;
   bool mBodyDone = false;
   bool mNotRun = false;
+  size_t mNotRunBodyBytes = 0;
   upstream_outcome mOutcome = upstream_outcome::kServed;
 };
 
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -20,7 +20,6 @@
 // Directory for the logs of the daemons; if unset, they go to /dev/null.
 constexpr char kLogVariable[] = "BAMBOOGRADE_TEST_LOGS";
 constexpr char kDefaultNetwork[] = "127.0.9";
-constexpr common::milliseconds kRequestTimeout{ 2000 };
 
 std::string Network()
 {
@@ -142,6 +141,17 @@
   return mDaemon < 0;
 }
 
+size_t fleet_vm::DaemonPeakKib() const
+{
+  std::ifstream status("/proc/" + std::to_string(mDaemon) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmHWM:", 0) == 0) {
+      return std::stoul(line.substr(sizeof("VmHWM:") - 1));
+    }
+  }
+  return 0;
+}
+
 fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices,
                              common::milliseconds aAnnouncePeriod)
   : table(loop)
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -28,6 +28,8 @@
   void ResumeDaemon();
   // Whether the process has exited; reaps it and fails the test if its exit code is not 0.
   bool DaemonEnded();
+  // Peak memory of the daemon process.
+  size_t DaemonPeakKib() const;
 
   std::unique_ptr<upstream_standin> upstream;
   common::endpoint Callers() const { return common::endpoint(mVm + ":7001"); }
@@ -58,7 +60,13 @@
   {
     response.status = aHead.status;
   }
-  void OnCallBody(std::string_view aBytes) override { response.body.append(aBytes); }
+  // Keeps the beginning of a body that does not end.
+  void OnCallBody(std::string_view aBytes) override
+  {
+    if (response.body.size() < kMaxKeptBytes) {
+      response.body.append(aBytes);
+    }
+  }
   void OnCallEnd() override { done = true; }
   void OnCallFailed(const connection::http::call_error&) override
   {
@@ -69,11 +77,17 @@
   connection::http::client_call_ptr call;
   fleet_response response;
   bool done = false;
+
+private:
+  static constexpr size_t kMaxKeptBytes = size_t(16) << 20;
 };
 
 class fleet_fixture
 {
 public:
+  // Deadline of the requests, and timeout of the routes.
+  static constexpr common::milliseconds kRequestTimeout{ 2000 };
+
   // aServices: the service of each VM, in order; its size is the number of VMs.
   explicit fleet_fixture(const std::vector<std::string>& aServices,
                          common::milliseconds aAnnouncePeriod = common::milliseconds(100));
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -349,6 +349,54 @@
                  common::milliseconds(500), "a response");
 }
 
+// A line of a body that did not end filled the daemon's memory, and an endless body kept its loop
+// from all other work.
+Test(fleet, an_upstream_that_sends_without_end_harms_only_its_own_requests)
+{
+  constexpr common::milliseconds kLongestResponse{ 500 };
+  constexpr common::milliseconds kDeadlineMargin{ 500 };
+  constexpr size_t kMaxPeakKib = size_t(64) * 1024;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Bamboograde-Server-Stamp: s\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(256 * 1024, 'x');
+  struct endless_response
+  {
+    std::string start;
+    std::string block;
+    // Status that the caller gets; 0 if its response is cut off.
+    int status;
+  };
+  const endless_response responses[] = {
+    { "", bytes, 502 },
+    { head + "X-Long: ", bytes, 502 },
+    { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", 504 },
+    { head + "\r\n", bytes, 0 },
+    { head + chunked + "1;", bytes, 502 },
+    { head + "X-Bamboograde-Request-Id: other\r\n\r\n", bytes, 502 },
+    { "HTTP/1.1 503 Busy\r\nX-Bamboograde-Not-Executed: 1\r\n\r\n", bytes, 503 },
+  };
+  for (const endless_response& endless : responses) {
+    const char* name = endless.start.c_str();
+    fleet_fixture fleet({ "keyed", "plain" });
+    WaitForKeys(fleet);
+    tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
+    upstream.SendEndlessly(endless.start, endless.block);
+    auto pending = fleet.StartRequest(1, "POST", "/book/x", "", "body");
+    common::boot_time sentAt = fleet.loop.Now();
+    while (!pending->done) {
+      common::boot_time before = fleet.loop.Now();
+      cr_assert_eq(fleet.SendRequest(1, "GET", "/keyed/x", "7").status, 200, "%s", name);
+      cr_assert_lt(fleet.loop.Now() - before, kLongestResponse, "%s", name);
+      cr_assert_lt(fleet.loop.Now() - sentAt, fleet_fixture::kRequestTimeout + kDeadlineMargin,
+                   "%s", name);
+    }
+    cr_assert_eq(pending->response.status, endless.status, "%s: %d", name,
+                 pending->response.status);
+    cr_assert_gt(upstream.EndlessResponses(), 0U);
+    cr_assert_lt(fleet.vms[1]->DaemonPeakKib(), kMaxPeakKib, "%s", name);
+  }
+}
+
 // Bodies larger than the buffer for retries are streamed to the upstream.
 Test(fleet, forwards_complete_bodies_of_any_size)
 {
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -58,6 +58,56 @@
   size_t mBytes = 0;
 };
 
+// Sends a start and then the same block again and again, until the caller closes the connection.
+// Deletes itself.
+class endless_sender : public connection::http::stream_owner
+{
+public:
+  endless_sender(connection::http::event_loop& aLoop, int aFd, std::string aStart,
+                 std::string aBlock)
+    : mLoop(aLoop)
+    , mStart(std::move(aStart))
+    , mBlock(std::move(aBlock))
+    , mTimer(aLoop, [this] { Send(); })
+  {
+    mStream = connection::http::tcp_stream::Adopt(aLoop, *this, aFd);
+    mStream->Start();
+  }
+  void OnInput() override
+  {
+    mStream->Input().clear();
+    if (!mStarted) {
+      mStarted = true;
+      mStream->Write(mStart);
+      Send();
+    }
+  }
+  void OnEnd(connection::http::stream_end) override
+  {
+    mTimer.Cancel();
+    mStream->Close();
+    mLoop.Defer([this] { delete this; });
+  }
+
+private:
+  void Send()
+  {
+    if (mStream->PendingBytes() == 0) {
+      mStream->Write(mBlock);
+    }
+    mTimer.Arm(mLoop.Now() + kSendPeriod);
+  }
+
+  static constexpr common::microseconds kSendPeriod{ 200 };
+
+  connection::http::event_loop& mLoop;
+  connection::http::tcp_stream_ptr mStream;
+  std::string mStart;
+  std::string mBlock;
+  bool mStarted = false;
+  connection::http::loop_timer mTimer;
+};
+
 } // namespace
 
 upstream_standin::upstream_standin(connection::http::event_loop& aLoop,
@@ -78,8 +128,14 @@
   mDeregistered = false;
   mHolds.clear();
   mReleased = common::json::array();
-  mListener = std::make_unique<connection::http::tcp_listener>(
-    mLoop, [this](int aFd) { connection::http::server_connection::Serve(mLoop, *this, aFd); });
+  mListener = std::make_unique<connection::http::tcp_listener>(mLoop, [this](int aFd) {
+    if (mEndlessBlock.empty()) {
+      connection::http::server_connection::Serve(mLoop, *this, aFd);
+    } else {
+      ++mEndlessResponses;
+      new endless_sender(mLoop, aFd, mEndlessStart, mEndlessBlock);
+    }
+  });
   auto listening = mListener->Listen(mOptions.address);
   Announce();
   return listening;
@@ -198,6 +254,12 @@
   }
 }
 
+void upstream_standin::SendEndlessly(std::string aStart, std::string aBlock)
+{
+  mEndlessStart = std::move(aStart);
+  mEndlessBlock = std::move(aBlock);
+}
+
 void upstream_standin::RespondHealth(const server_exchange_ptr& aExchange)
 {
   if (!mHealthAnswered) {
@@ -207,6 +269,8 @@
   connection::http::response_head head;
   head.status = mLeaving ? 503 : 200;
   head.headers.Add("X-Bamboograde-Instance-Id", "i-" + mOptions.vm);
+  // Requests come on connections of their own.
+  head.headers.Add("Keep-Alive", "timeout=1");
   aExchange->Respond(head, "");
 }
 
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -57,6 +57,10 @@
   void DeliverLateAnnouncement();
   // Whether requests for the health path get a response.
   void SetHealthAnswered(bool aAnswered) { mHealthAnswered = aAnswered; }
+  // Answers requests on new connections with aStart and then aBlock without end, until the caller
+  // closes the connection.
+  void SendEndlessly(std::string aStart, std::string aBlock);
+  unsigned EndlessResponses() const { return mEndlessResponses; }
   // Runs the next requests, but closes their connections without a response.
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
   // Sets how long requests run from now on.
@@ -94,6 +98,9 @@
   uint64_t mSequence = 0;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
+  std::string mEndlessStart;
+  std::string mEndlessBlock;
+  unsigned mEndlessResponses = 0;
   bool mDeregistered = false;
   bool mHealthAnswered = true;
   // Exchanges of requests for the health path that get no response.
