--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -11,6 +11,8 @@
 #include "request/suspect_list.h"
 #include "version/key_load.h"
 
+#include <algorithm>
+
 namespace bamboograde::process::sidecar {
 
 // Receives the gate's decision on one request.
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -11,7 +11,7 @@
 constexpr int kMaxSilentPeriods = 3;
 // Maximum deferral of a response. Upstreams ignore a response that arrives later than a second.
 constexpr common::milliseconds kMaxDeferral{ 700 };
-// Announcements are delivered at most this long after they were sent.
+// Longest delay of an announcement on its way that is taken into account.
 constexpr common::milliseconds kMaxAnnouncementDelay{ 10000 };
 constexpr size_t kMaxAnnouncementBytes = size_t(256) * 1024;
 
