Share the steps of the tests of leaving upstreams

Cause: two tests repeated the same steps; the linter found multiplications that widen and a vector without a reserved size.

--- a/tests/connection/http/client_pool_test.cpp
+++ b/tests/connection/http/client_pool_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr common::milliseconds kLoopTime{ 20 };
+constexpr size_t kBlockBytes = size_t(64) * 1024;
 // A daemon whose loop is later than this logs it.
 constexpr common::milliseconds kLongestDelay{ 250 };
 
@@ -220,7 +221,7 @@
     observer.ownId = "8";
     auto call = fixture.Get(&observer);
     std::string block;
-    while (block.size() < 64 * 1024) {
+    while (block.size() < kBlockBytes) {
       block.append(response);
     }
     for (int i = 0; i < 32 && observer.failures == 0; ++i) {
@@ -242,9 +243,10 @@
   int fd = fixture.peer.fds[0];
   std::atomic<bool> stop = false;
   std::vector<std::thread> senders;
+  senders.reserve(2);
   for (int i = 0; i < 2; ++i) {
     senders.emplace_back([fd, &stop] {
-      std::string block(64 * 1024, 'x');
+      std::string block(kBlockBytes, 'x');
       while (!stop) {
         (void)send(fd, block.data(), block.size(), MSG_NOSIGNAL);
       }
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -47,6 +47,24 @@
   aFleet.RunFor(common::milliseconds(300));
 }
 
+void Deregister(fleet_fixture& aFleet, tests::upstream_standin& aUpstream)
+{
+  aUpstream.Deregister();
+  aFleet.RunUntil([&aUpstream] { return aUpstream.Deregistered(); }, common::milliseconds(1000),
+                  "the acknowledgement");
+}
+
+// Expects that requests of the service without keys are rejected on every VM and reach no upstream.
+void ExpectNoPlainUpstream(fleet_fixture& aFleet)
+{
+  aFleet.RunFor(kBroadcastTime);
+  size_t before = aFleet.record.runs.size();
+  for (size_t vm = 0; vm < aFleet.vms.size(); ++vm) {
+    cr_assert_eq(aFleet.SendRequest(vm, "GET", "/plain/x").status, 503, "vm %zu", vm);
+  }
+  cr_assert_eq(aFleet.record.runs.size(), before);
+}
+
 } // namespace
 
 Test(fleet, serves_keyed_and_plain_requests_from_every_vm)
@@ -292,17 +310,10 @@
   tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
   upstream.StopAnnouncing();
   RestartDaemon(fleet, 1);
-  upstream.Deregister();
-  fleet.RunUntil([&upstream] { return upstream.Deregistered(); }, common::milliseconds(1000),
-                 "the acknowledgement");
+  Deregister(fleet, upstream);
   fleet.RunFor(kDrainTime);
   upstream.DeliverLateAnnouncement();
-  fleet.RunFor(kBroadcastTime);
-  size_t before = fleet.record.runs.size();
-  for (size_t vm : { size_t(0), size_t(1) }) {
-    cr_assert_eq(fleet.SendRequest(vm, "GET", "/plain/x").status, 503, "vm %zu", vm);
-  }
-  cr_assert_eq(fleet.record.runs.size(), before);
+  ExpectNoPlainUpstream(fleet);
 }
 
 // The new daemon process knew nothing of the deregistration that the former one had acknowledged.
@@ -311,18 +322,11 @@
   fleet_fixture fleet({ "keyed", "plain" });
   WaitForKeys(fleet);
   tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
-  upstream.Deregister();
-  fleet.RunUntil([&upstream] { return upstream.Deregistered(); }, common::milliseconds(1000),
-                 "the acknowledgement");
+  Deregister(fleet, upstream);
   RestartDaemon(fleet, 1);
   fleet.RunFor(kDrainTime);
   upstream.DeliverLateAnnouncement();
-  fleet.RunFor(kBroadcastTime);
-  size_t before = fleet.record.runs.size();
-  for (size_t vm : { size_t(0), size_t(1) }) {
-    cr_assert_eq(fleet.SendRequest(vm, "GET", "/plain/x").status, 503, "vm %zu", vm);
-  }
-  cr_assert_eq(fleet.record.runs.size(), before);
+  ExpectNoPlainUpstream(fleet);
 }
 
 // Waiting for a second announcement would cost a whole period after each restart of a daemon.
@@ -358,7 +362,7 @@
   constexpr size_t kMaxPeakKib = size_t(64) * 1024;
   const std::string head = "HTTP/1.1 200 OK\r\nX-Bamboograde-Server-Stamp: s\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string bytes(256 * 1024, 'x');
+  const std::string bytes(size_t(256) * 1024, 'x');
   struct endless_response
   {
     std::string start;
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -2,7 +2,6 @@
 #include "process/sidecar/sidecar_fixture.h"
 
 #include <criterion/criterion.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -46,7 +45,7 @@
 {
 public:
   full_listener()
-    : mListener(socket(AF_INET, SOCK_STREAM, 0))
+    : mListener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
   {
     mAddress.sin_family = AF_INET;
     mAddress.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -88,7 +87,6 @@
     }
     return bytes;
   }
-  void SetNonBlocking() { (void)fcntl(mListener, F_SETFL, O_NONBLOCK); }
 
 private:
   int mListener;
@@ -161,7 +159,6 @@
 Test(upstream_gate, a_request_is_not_sent_on_a_connection_established_after_the_closing_time)
 {
   full_listener listener;
-  listener.SetNonBlocking();
   gate_fixture fixture;
   fixture.base.settings.upstream = listener.Address();
   recording_observer observer;
