Test the deregistration of an unknown upstream apart from the probe

Cause: since a new process confirms its upstream, the test of the deregistration passed without the fix that it guards. Change: the upstream does not answer the probe, and two late announcements arrive, the second of which would confirm an upstream that is not known. Measured: the test passes, and fails (status 200) with the check of deregistered upstreams switched off.

--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -14,6 +14,7 @@
 constexpr common::milliseconds kStartTimeout{ 6000 };
 // Time limit for serving a key again after its owner has failed or left.
 constexpr common::milliseconds kTakeoverTimeout{ 4000 };
+constexpr common::milliseconds kAnnouncePeriod{ 100 };
 // The daemons' default for bounds.drain_ms.
 constexpr common::milliseconds kDrainTime{ 2000 };
 // Time for a change of a member to reach the other daemons.
@@ -305,13 +306,17 @@
 // The daemon acknowledged the deregistration of an upstream that it did not know yet and forgot it.
 Test(fleet, an_upstream_that_deregisters_at_a_new_daemon_is_not_used_after_a_late_announcement)
 {
-  fleet_fixture fleet({ "keyed", "plain" });
+  fleet_fixture fleet({ "keyed", "plain" }, kAnnouncePeriod);
   WaitForKeys(fleet);
   tests::upstream_standin& upstream = *fleet.vms[1]->upstream;
   upstream.StopAnnouncing();
+  upstream.SetHealthAnswered(false);
   RestartDaemon(fleet, 1);
   Deregister(fleet, upstream);
   fleet.RunFor(kDrainTime);
+  // Two, because a second one would confirm an upstream that the daemon does not know.
+  upstream.DeliverLateAnnouncement();
+  fleet.RunFor(kAnnouncePeriod);
   upstream.DeliverLateAnnouncement();
   ExpectNoPlainUpstream(fleet);
 }
