Skip waiting requests that a refusal of another one has ended

Cause: the gate refuses its waiting requests one after the other from a copy of the queue. The response to one can close its connection, when the daemon stops, and that withdraws the requests pipelined behind it. The gate then refused them by a null or dangling pointer. Parked requests and those that can no longer be served were handled alike. Evidence: backtrace of a trial with a signal handler: OnAnnouncement, RefuseWaiting, Refuse. Both new tests fail on the former code, one by a crash. Change: queued requests are looked up again before each refusal; parked ones are taken one by one from the list that a withdrawal changes. Why it works: a withdrawn request is in neither of them any more.

--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -254,10 +254,9 @@
 
 void upstream_gate::RetryParked()
 {
-  std::vector<parked_request> waiting;
-  waiting.swap(mParked);
   common::boot_time now = mRuntime.Now();
-  for (const parked_request& item : waiting) {
+  for (size_t left = mParked.size(); left > 0 && !mParked.empty(); --left) {
+    parked_request item = TakeParked();
     key_status answer = StatusOf(*item.facts.key);
     if (Closed()) {
       Refuse(item.client, request::attempt_refusal_reason::kNoUpstream);
@@ -273,19 +272,36 @@
 
 void upstream_gate::RefuseWaiting(request::attempt_refusal_reason aReason)
 {
-  for (request::admission_id id : mAdmission.TakeAll()) {
-    gate_client* client = mEntries[id].client;
-    mEntries.erase(id);
-    mIdsByClient.erase(client);
-    Refuse(client, aReason);
+  RefuseQueued(mAdmission.TakeAll(), aReason);
+  for (size_t left = mParked.size(); left > 0 && !mParked.empty(); --left) {
+    Refuse(TakeParked().client, aReason);
   }
-  std::vector<parked_request> waiting;
-  waiting.swap(mParked);
-  for (const parked_request& item : waiting) {
-    Refuse(item.client, aReason);
+}
+
+// Refuses requests that have left the admission queue. A refusal may end others of them, which are
+// withdrawn then.
+void upstream_gate::RefuseQueued(const std::vector<request::admission_id>& aIds,
+                                 request::attempt_refusal_reason aReason)
+{
+  for (request::admission_id id : aIds) {
+    auto found = mEntries.find(id);
+    if (found != mEntries.end()) {
+      gate_client* client = found->second.client;
+      mEntries.erase(found);
+      mIdsByClient.erase(client);
+      Refuse(client, aReason);
+    }
   }
 }
 
+// Takes the request that has been parked the longest.
+upstream_gate::parked_request upstream_gate::TakeParked()
+{
+  parked_request item = std::move(mParked.front());
+  mParked.erase(mParked.begin());
+  return item;
+}
+
 request::load_report upstream_gate::Load() const
 {
   request::load_report report;
@@ -298,12 +314,8 @@
 
 void upstream_gate::Tick()
 {
-  for (request::admission_id id : mAdmission.TakeUnservable(mRuntime.Now())) {
-    gate_client* client = mEntries[id].client;
-    mEntries.erase(id);
-    mIdsByClient.erase(client);
-    Refuse(client, request::attempt_refusal_reason::kOverloaded);
-  }
+  RefuseQueued(mAdmission.TakeUnservable(mRuntime.Now()),
+               request::attempt_refusal_reason::kOverloaded);
   if (Closed()) {
     RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   } else if (!mParked.empty()) {
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -122,6 +122,9 @@
   void StartNext();
   void RetryParked();
   void RefuseWaiting(request::attempt_refusal_reason aReason);
+  void RefuseQueued(const std::vector<request::admission_id>& aIds,
+                    request::attempt_refusal_reason aReason);
+  parked_request TakeParked();
   // Marks requests whose connection broke since the last announcement as crash suspects.
   void MarkCrashSuspects();
 
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -25,6 +25,26 @@
   bool refused = false;
 };
 
+// Its refusal makes another request end, as the close of a connection ends those behind it.
+class withdrawing_client : public recording_client
+{
+public:
+  withdrawing_client(upstream_gate& aGate, gate_client* aOther)
+    : mGate(aGate)
+    , mOther(aOther)
+  {
+  }
+  void OnAdmissionRefused(const request::attempt_refusal& aRefusal) override
+  {
+    recording_client::OnAdmissionRefused(aRefusal);
+    mGate.Withdraw(mOther);
+  }
+
+private:
+  upstream_gate& mGate;
+  gate_client* mOther;
+};
+
 class recording_observer : public request::attempt_observer
 {
 public:
@@ -155,6 +175,41 @@
   cr_assert(client.refused);
 }
 
+// A stopping daemon crashed when its upstream left and pipelined requests waited at the gate.
+Test(upstream_gate, a_refusal_that_ends_another_waiting_request)
+{
+  gate_fixture fixture;
+  recording_client running;
+  recording_client last;
+  withdrawing_client first(fixture.gate, &last);
+  fixture.gate.Submit(fixture.facts, &running);
+  fixture.gate.Submit(fixture.facts, &first);
+  fixture.gate.Submit(fixture.facts, &last);
+  fixture.gate.OnUpstreamLeaving();
+  cr_assert(first.refused);
+  cr_assert_not(last.refused);
+}
+
+Test(upstream_gate, a_refusal_that_ends_another_parked_request)
+{
+  gate_fixture fixture;
+  boost::intrusive_ptr<version::key_map> map(new version::key_map());
+  map->service = fixture.upstream.service;
+  map->version = common::row_version(1);
+  map->owners.emplace_back().vm = fixture.base.settings.vm;
+  version::AddRange(&map->owners.front(), { { 0, 9 }, version::fencing_token(1), "" });
+  fixture.base.fleet.ApplyKeyMap(map);
+  fixture.facts.key = 1;
+  recording_client last;
+  withdrawing_client first(fixture.gate, &last);
+  fixture.gate.Submit(fixture.facts, &first);
+  fixture.gate.Submit(fixture.facts, &last);
+  cr_assert(!first.refused && !first.admitted);
+  fixture.gate.OnUpstreamLost();
+  cr_assert(first.refused);
+  cr_assert_not(last.refused);
+}
+
 // A request whose connection to the upstream took long was sent as soon as it was established.
 Test(upstream_gate, a_request_is_not_sent_on_a_connection_established_after_the_closing_time)
 {
