--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -46,7 +46,7 @@
   , mTarget(aTarget)
   , mConnectTimer(aLoop, [this] {
     boost::intrusive_ptr<client_connection> self(this);
-    Fail(kConnectTimedOut, false);
+    Fail(kConnectTimedOut);
   })
 {
   mStream = tcp_stream::Connect(aLoop, *this, aTarget);
@@ -120,7 +120,7 @@
   mConnectTimer.Cancel();
   // In an iteration of the loop the events come before the timers, so the timer may be due as well.
   if (mLoop.Now() >= mSendBy) {
-    Fail(kConnectTimedOut, false);
+    Fail(kConnectTimedOut);
     return;
   }
   ++mPool->mConnects;
@@ -143,7 +143,7 @@
     used += taken;
     mForeignBytes += mSkipsResponse || mInformational ? taken : 0;
     if (mCall != nullptr && mForeignBytes > kMaxForeignBytes) {
-      Fail("too many bytes before the response", false);
+      Fail("too many bytes before the response");
       return;
     }
     if (status == parse_status::kNeedMore) {
@@ -151,7 +151,7 @@
     }
     if (status != parse_status::kComplete) {
       if (mCall != nullptr) {
-        Fail("response is not HTTP", false);
+        Fail("response is not HTTP");
       }
       return;
     }
@@ -235,11 +235,15 @@
 {
   boost::intrusive_ptr<client_connection> self(this);
   if (mCall == nullptr) {
+    client_pool* pool = mPool;
     CloseAndDetach();
+    if (pool != nullptr && pool->mOnDisconnected) {
+      pool->mOnDisconnected();
+    }
     return;
   }
   if (!mStream->Connected()) {
-    Fail("connect failed", true);
+    FailDisconnected("connect failed", true);
     return;
   }
   bool complete = aEnd == stream_end::kEof && mParser != nullptr && mParser->HeadComplete() &&
@@ -249,23 +253,36 @@
     OnMessageEnd();
     return;
   }
-  Fail(mParser != nullptr && mParser->HeadComplete() ? "response was cut off"
-                                                     : "closed before the response",
-       aEnd == stream_end::kError);
+  FailDisconnected(mParser != nullptr && mParser->HeadComplete() ? "response was cut off"
+                                                                 : "closed before the response",
+                   aEnd == stream_end::kError);
+}
+
+void client_connection::Fail(const char* aReason)
+{
+  call_error error;
+  error.reason = aReason;
+  End(error);
 }
 
-void client_connection::Fail(const char* aReason, bool aRefused)
+void client_connection::FailDisconnected(const char* aReason, bool aRefused)
 {
   call_error error;
-  error.failure = HasSentBytes() ? call_failure::kUnknown : call_failure::kNotSent;
   error.reason = aReason;
   error.refused = aRefused;
+  error.disconnected = true;
+  End(error);
+}
+
+void client_connection::End(call_error aError)
+{
+  aError.failure = HasSentBytes() ? call_failure::kUnknown : call_failure::kNotSent;
   client_call_ptr call;
   call.swap(mCall);
   CloseAndDetach();
   if (call != nullptr) {
     call->mConnection = nullptr;
-    call->mObserver->OnCallFailed(error);
+    call->mObserver->OnCallFailed(aError);
   }
 }
 
--- a/src/connection/http/client_connection.h
+++ b/src/connection/http/client_connection.h
@@ -42,7 +42,9 @@
   void OnBody(std::string_view aBytes) override;
 
   void OnMessageEnd();
-  void Fail(const char* aReason, bool aRefused);
+  void Fail(const char* aReason);
+  void FailDisconnected(const char* aReason, bool aRefused);
+  void End(call_error aError);
   void CloseAndDetach();
   void ReturnToPoolOrClose(bool aReusable);
 
--- a/src/connection/http/client_pool.h
+++ b/src/connection/http/client_pool.h
@@ -7,6 +7,7 @@
 #include "connection/http/message_parser.h"
 #include "connection/http/tcp_stream.h"
 
+#include <functional>
 #include <unordered_map>
 
 namespace bamboograde::connection::http {
@@ -31,6 +32,8 @@
   // The connection could not be established, or ended by stream_end::kError. False when the connect
   // deadline passed.
   bool refused = false;
+  // The server has refused or ended the connection.
+  bool disconnected = false;
 };
 
 // Receives the response to one call. The last notification is either OnCallEnd() or OnCallFailed();
@@ -95,6 +98,11 @@
   // Closes the idle connections to the target. For use after a request to it timed out, since the
   // network path of the idle connections may be broken as well.
   void CloseIdleConnections(const common::endpoint& aTarget);
+  // aObserver is called when a server ends an idle connection.
+  void SetDisconnectObserver(std::function<void()> aObserver)
+  {
+    mOnDisconnected = std::move(aObserver);
+  }
   // Number of connections established since the pool was created.
   uint64_t Connects() const { return mConnects; }
 
@@ -115,6 +123,7 @@
   std::unordered_map<common::endpoint, target_state, common::id_hash> mTargets;
   loop_timer mIdleCheckTimer;
   uint64_t mConnects = 0;
+  std::function<void()> mOnDisconnected;
 };
 
 } // namespace bamboograde::connection::http
--- a/src/process/sidecar/key_handoffs.cpp
+++ b/src/process/sidecar/key_handoffs.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-bool IsHeld(const announcement& aAnnouncement, const version::key_range& aRange)
+bool IsHeld(const key_report& aReport, const version::key_range& aRange)
 {
-  return std::any_of(aAnnouncement.holds.begin(), aAnnouncement.holds.end(),
+  return std::any_of(aReport.holds.begin(), aReport.holds.end(),
                      [&aRange](const version::held_range& aHeld) {
                        return version::Intersection(aHeld.range, aRange).has_value();
                      });
@@ -31,37 +31,37 @@
 }
 
 std::vector<key_handoffs::moving_range> key_handoffs::Split(const moving_range& aPart,
-                                                            const announcement& aAnnouncement)
+                                                            const key_report& aReport)
 {
   std::vector<moving_range> pieces;
   // Each key belongs to exactly one piece, even if released ranges overlap.
   version::key_owner rest;
   rest.ranges.push_back({ aPart.range, {}, "" });
-  for (const released_range& released : aAnnouncement.released) {
+  for (const released_range& released : aReport.released) {
     for (const version::key_range& open : version::RangesOf(rest)) {
       auto cut = version::Intersection(open, released.range);
-      if (cut.has_value() && !IsHeld(aAnnouncement, *cut)) {
+      if (cut.has_value() && !IsHeld(aReport, *cut)) {
         pieces.push_back({ *cut, aPart.target, released.handover, true, aPart.excludedFromGrant });
         version::RemoveRange(&rest, *cut);
       }
     }
   }
   for (const version::key_range& left : version::RangesOf(rest)) {
-    bool released = !IsHeld(aAnnouncement, left);
+    bool released = !IsHeld(aReport, left);
     pieces.push_back({ left, aPart.target, "", released, aPart.excludedFromGrant });
   }
   return pieces;
 }
 
-void key_handoffs::OnAnnouncement(const announcement& aAnnouncement)
+void key_handoffs::OnReport(const key_report& aReport)
 {
   std::vector<moving_range> pieces;
   for (const moving_range& item : mRanges) {
-    if (item.released && !IsHeld(aAnnouncement, item.range)) {
+    if (item.released && !IsHeld(aReport, item.range)) {
       pieces.push_back(item);
       continue;
     }
-    auto split = Split(item, aAnnouncement);
+    auto split = Split(item, aReport);
     pieces.insert(pieces.end(), split.begin(), split.end());
   }
   mRanges = std::move(pieces);
--- a/src/process/sidecar/key_handoffs.h
+++ b/src/process/sidecar/key_handoffs.h
@@ -20,9 +20,8 @@
   void Add(const std::vector<version::key_assignment>& aPlan);
   // A grant that excludes the ranges has been sent to the upstream.
   void OnExcludedFromGrant();
-  // Applies the ranges that the upstream holds and those that it has released since its previous
-  // announcement.
-  void OnAnnouncement(const announcement& aAnnouncement);
+  // Applies what the upstream holds and has released.
+  void OnReport(const key_report& aReport);
   // Whether the upstream has released every range, or its grants have expired.
   bool ReadyToCommit(bool aGrantsExpired) const;
   // Ranges whose requests must wait at the gate.
@@ -47,8 +46,7 @@
     bool excludedFromGrant = false;
   };
 
-  static std::vector<moving_range> Split(const moving_range& aPart,
-                                         const announcement& aAnnouncement);
+  static std::vector<moving_range> Split(const moving_range& aPart, const key_report& aReport);
 
   std::vector<moving_range> mRanges;
 };
--- a/src/process/sidecar/key_ownership.cpp
+++ b/src/process/sidecar/key_ownership.cpp
@@ -1,6 +1,8 @@
 #include "process/sidecar/key_ownership.h"
 
+#include "process/sidecar/direct_grants.h"
 #include "process/sidecar/key_successors.h"
+#include "process/sidecar/response_grants.h"
 
 #include <algorithm>
 
@@ -8,13 +10,6 @@
 
 namespace {
 
-// Maximum relative drift between the upstream's clock and this daemon's.
-constexpr double kMaxClockDrift = 0.02;
-// Shorter grants are withheld.
-constexpr common::milliseconds kMinHoldTime{ 100 };
-// Delay between a grant and its use by the gate: the grant must reach the upstream before the first
-// request for a newly granted key.
-constexpr common::milliseconds kGateUpdateDelay{ 3 };
 constexpr common::milliseconds kNotifyTimeout{ 500 };
 // Expected time from a grant that excludes keys to the commit of their hand-off. The upstream
 // finishes running requests and announces the release within 100 ms.
@@ -58,6 +53,17 @@
          int64_t(kOwnersAtBaseCooldown);
 }
 
+std::unique_ptr<grant_channel> MakeChannel(runtime& aRuntime, const upstream_codec& aCodec,
+                                           upstream_gate& aGate, key_grantor& aGrantor)
+{
+  common::milliseconds hold =
+    std::min(HoldTimeFor(aRuntime.settings.announcePeriod), aRuntime.settings.bounds.maxHold);
+  if (aRuntime.settings.grants == grant_method::kDirect) {
+    return std::make_unique<direct_grants>(aRuntime, aCodec, aGate, aGrantor, hold);
+  }
+  return std::make_unique<response_grants>(aRuntime, aGate, aGrantor, hold);
+}
+
 bool IsIncarnationOf(const version::upstream_id& aIncarnation,
                      const version::upstream_id& aUpstream)
 {
@@ -80,7 +86,8 @@
   return terms;
 }
 
-key_ownership::key_ownership(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
+key_ownership::key_ownership(runtime& aRuntime, const upstream_codec& aCodec,
+                             key_map_editor& aEditor, peer_messenger& aMessenger,
                              upstream_gate& aGate, request::placement& aPlacement,
                              common::boot_id aBoot)
   : mRuntime(aRuntime)
@@ -90,10 +97,8 @@
   , mPlacement(aPlacement)
   , mBoot(std::move(aBoot))
   , mTerms(LeaseTermsFor(aRuntime.settings.announcePeriod))
-  , mHoldTime(
-      std::min(HoldTimeFor(aRuntime.settings.announcePeriod), aRuntime.settings.bounds.maxHold))
   , mLease(mTerms)
-  , mGateUpdateTimer(aRuntime.loop, [this] { mGate.SetKeys(mGrantedRanges, mGrantEnd); })
+  , mChannel(MakeChannel(aRuntime, aCodec, aGate, *this))
 {
 }
 
@@ -124,9 +129,9 @@
 {
   version::upstream_id incarnation = IncarnationOf(aAnnouncement);
   if (incarnation != mIncarnation) {
-    // A new incarnation holds nothing. The first one that this daemon process sees may still hold
-    // grants of an earlier daemon process.
-    mGrantEnd = mIncarnation.Empty() ? mRuntime.Now() + mHoldTime * 2 : common::boot_time();
+    // The first incarnation that this daemon process sees may still hold grants of an earlier
+    // process.
+    mChannel->OnStarted(mIncarnation.Empty());
     mIncarnation = incarnation;
     mSessionStartAt = {};
     mSessionTurnAt = {};
@@ -138,8 +143,7 @@
   if (aAnnouncement.leaving) {
     HandOffAllKeys();
   }
-  mHandoffs.OnAnnouncement(aAnnouncement);
-  CommitHandoffs();
+  mChannel->OnAnnouncement(aAnnouncement);
   if (!HasSession()) {
     Tick();
   }
@@ -147,31 +151,19 @@
 
 std::optional<grant> key_ownership::Grant(common::boot_time aHeardAt)
 {
-  if (!ServiceIsKeyed() || !HasSession()) {
-    return std::nullopt;
-  }
-  common::boot_time now = mRuntime.Now();
-  auto left = std::chrono::duration_cast<common::microseconds>(mLease.LeaseEnd() - now);
-  auto safe = common::microseconds(int64_t(double(left.count()) * (1 - 2 * kMaxClockDrift)));
-  common::milliseconds hold = std::min(mHoldTime, std::chrono::floor<common::milliseconds>(safe));
-  if (hold < kMinHoldTime) {
-    mRuntime.log.Write(line_class::kState, "grant_withheld", [&] {
-      return common::json{ { "lease_left_us", left.count() }, { "session", mSession.Str() } };
-    });
-    return std::nullopt;
-  }
-  grant newGrant{ GrantableRanges(), hold };
-  // With this grant the upstream starts to release the ranges in hand-off.
+  return ServiceIsKeyed() ? mChannel->Respond(aHeardAt) : std::nullopt;
+}
+
+void key_ownership::OnOthersExcluded()
+{
   mHandoffs.OnExcludedFromGrant();
   UpdatePausedKeys();
-  common::boot_time end =
-    aHeardAt + common::microseconds(
-                 int64_t(double(common::microseconds(hold).count()) * (1 + kMaxClockDrift)));
-  mGrantEnd = std::max(mGrantEnd, end);
-  // The gate must admit the granted ranges; the owned ranges may change before the timer fires.
-  mGrantedRanges = newGrant.ranges;
-  mGateUpdateTimer.Arm(now + kGateUpdateDelay);
-  return newGrant;
+}
+
+void key_ownership::OnReport(const key_report& aReport)
+{
+  mHandoffs.OnReport(aReport);
+  CommitHandoffs();
 }
 
 void key_ownership::Tick()
@@ -208,6 +200,7 @@
   if (mLeaving && mHandoffs.Empty() && !Empty()) {
     HandOffAllKeys();
   }
+  mChannel->Update();
   CommitHandoffs();
 }
 
@@ -369,7 +362,7 @@
     mLease.EndChange(false);
     return;
   }
-  if (!mLease.MayCommitChange(mGrantEnd)) {
+  if (!mLease.MayCommitChange(mChannel->GrantEnd())) {
     return;
   }
   mWitnessChangeSubmitted = mEditor.Edit(
@@ -515,6 +508,7 @@
                          { "map", KeyMap()->version.Value() } };
   });
   NotifyTargets();
+  mChannel->Update();
 }
 
 // Notifies the targets so that they defer their upstream's acknowledgement until the keys arrive.
@@ -542,7 +536,7 @@
 
 void key_ownership::CommitHandoffs()
 {
-  bool ready = mHandoffs.ReadyToCommit(mRuntime.Now() >= mGrantEnd);
+  bool ready = mHandoffs.ReadyToCommit(mRuntime.Now() >= mChannel->GrantEnd());
   if (!ready || mEditor.Busy() || !mEditor.Healthy()) {
     return;
   }
@@ -591,6 +585,9 @@
   }
   mHandoffs.DropMovedRanges(*map, mRuntime.settings.vm);
   UpdatePausedKeys();
+  if (ServiceIsKeyed() && !mIncarnation.Empty()) {
+    mChannel->Update();
+  }
 }
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_ownership.h
+++ b/src/process/sidecar/key_ownership.h
@@ -1,5 +1,5 @@
-// Owner side of key ownership for the local upstream: its session and lease, grants of keys to it,
-// and hand-offs to other owners.
+// Owner side of key ownership for the local upstream: its session and lease, which keys are granted
+// to it, and hand-offs to other owners. How the upstream is told is up to the grant_channel.
 //
 // A grant always ends before the lease can have expired, so that a successor that takes the keys
 // over after the lease knows that the upstream has released them.
@@ -7,11 +7,14 @@
 
 #include "process/lease/lease_holder.h"
 #include "process/lease/witness_choice.h"
+#include "process/sidecar/grant_channel.h"
 #include "process/sidecar/key_handoffs.h"
 #include "process/sidecar/key_map_editor.h"
 #include "process/sidecar/upstream_gate.h"
 #include "version/key_plan.h"
 
+#include <memory>
+
 namespace bamboograde::process::sidecar {
 
 constexpr char kHandoffNoticePath[] = "/control/keys/arriving";
@@ -20,19 +23,23 @@
 lease::lease_terms LeaseTermsFor(common::milliseconds aAnnouncePeriod);
 common::milliseconds HoldTimeFor(common::milliseconds aAnnouncePeriod);
 
-class key_ownership
+class key_ownership : private key_grantor
 {
 public:
-  key_ownership(runtime& aRuntime, key_map_editor& aEditor, peer_messenger& aMessenger,
-                upstream_gate& aGate, request::placement& aPlacement, common::boot_id aBoot);
+  key_ownership(runtime& aRuntime, const upstream_codec& aCodec, key_map_editor& aEditor,
+                peer_messenger& aMessenger, upstream_gate& aGate, request::placement& aPlacement,
+                common::boot_id aBoot);
 
   void OnAnnouncement(const announcement& aAnnouncement);
-  // The grant that answers an announcement received at aHeardAt; empty when there is no session or
-  // too little of the lease remains.
+  // The grant that answers an announcement received at aHeardAt; empty when there is no session,
+  // too little of the lease remains or keys are not granted in responses.
   std::optional<grant> Grant(common::boot_time aHeardAt);
   // Whether another owner has announced a hand-off to this daemon. A response to an announcement
   // may be deferred to include these keys.
-  bool ExpectsKeys() const { return mRuntime.Now() < mIncomingHandoffUntil; }
+  bool ExpectsKeys() const
+  {
+    return mChannel->GrantsInResponses() && mRuntime.Now() < mIncomingHandoffUntil;
+  }
   // Handles the notice of an owner that is about to hand keys off to this daemon.
   common::json OnHandoffNotice();
   // The observer is called when the ranges that this daemon owns change while ExpectsKeys().
@@ -49,10 +56,16 @@
   void OnKeyMapChanged();
 
 private:
+  // key_grantor
+  bool HasSession() const override;
+  std::vector<version::held_range> GrantableRanges() const override;
+  common::boot_time LeaseEnd() const override { return mLease.LeaseEnd(); }
+  void OnOthersExcluded() override;
+  void OnReport(const key_report& aReport) override;
+
   bool ServiceIsKeyed() const { return mRuntime.fleet.IsKeyed(mGate.Service()); }
   version::key_map_ptr KeyMap() const { return mRuntime.fleet.KeyMap(mGate.Service()); }
   const version::key_owner* OwnEntry() const;
-  bool HasSession() const;
   void StartSession();
   size_t SessionStartPosition() const;
   lease::witness_set ChooseWitnesses(const lease::witness_set& aKeep);
@@ -69,7 +82,6 @@
   void CommitHandoffs();
   void UpdatePausedKeys();
   void NotifyTargets();
-  std::vector<version::held_range> GrantableRanges() const;
 
   runtime& mRuntime;
   key_map_editor& mEditor;
@@ -78,15 +90,13 @@
   request::placement& mPlacement;
   common::boot_id mBoot;
   lease::lease_terms mTerms;
-  common::milliseconds mHoldTime;
   lease::lease_holder mLease;
+  std::unique_ptr<grant_channel> mChannel;
   // The upstream id with the start time of its current incarnation.
   version::upstream_id mIncarnation;
   common::session_id mSession;
   key_handoffs mHandoffs;
   bool mLeaving = false;
-  // Latest time at which the upstream may still hold granted keys.
-  common::boot_time mGrantEnd;
   common::boot_time mRenewAt;
   // Neither a session nor a change of witnesses is started before this time.
   common::boot_time mSessionStartAt;
@@ -102,9 +112,6 @@
   common::boot_time mLoadDecayAt;
   common::boot_time mOwnersChangedAt;
   std::vector<std::string> mKnownOwners;
-  // Ranges in the last grant.
-  std::vector<version::held_range> mGrantedRanges;
-  connection::http::loop_timer mGateUpdateTimer;
   common::boot_time mIncomingHandoffUntil;
   std::function<void()> mOnKeysReceived;
   // Ranges that this daemon owned when the key map last changed.
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -180,7 +180,7 @@
   , mGossip(mRuntime, mMessenger, mSuspects)
   , mPlatformSync(mRuntime, aPorts.store, mGossip, [this] { mBroadcast.BroadcastMember(mSelf); })
   , mEditor(mRuntime, aPorts.store, mBroadcast)
-  , mKeys(mRuntime, mEditor, mMessenger, mGate, mPlacement, mBoot)
+  , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { PublishMember(); })
   , mEntry{ mRuntime, mGate, mPlacement, mFailureDetector, mBudgets, mWaiting, mStopping, mClosing }
--- a/src/process/sidecar/sidecar_settings.cpp
+++ b/src/process/sidecar/sidecar_settings.cpp
@@ -77,6 +77,15 @@
   };
 }
 
+scalar_reader Grants(grant_method* aTarget)
+{
+  return [aTarget](const YAML::Node& aNode) -> std::string {
+    std::string value = aNode.as<std::string>("");
+    *aTarget = value == "direct" ? grant_method::kDirect : grant_method::kResponse;
+    return value == "direct" || value == "heartbeat" ? "" : "heartbeat or direct";
+  };
+}
+
 scalar_reader Addresses(std::vector<common::endpoint>* aTarget)
 {
   return [aTarget](const YAML::Node& aNode) -> std::string {
@@ -104,6 +113,7 @@
     { "upstream", { true, Address(&aSettings->upstream) } },
     { "platform", { true, Address(&aSettings->platform) } },
     { "announce_period_ms", { true, Millis(&aSettings->announcePeriod, kMillisecond) } },
+    { "grants", { false, Grants(&aSettings->grants) } },
     { "first_start", { false, Flag(&aSettings->firstStart) } },
     { "seeds", { false, Addresses(&aSettings->seeds) } },
     { "listen.callers", { true, Address(&listen.callers) } },
--- a/src/process/sidecar/sidecar_settings.h
+++ b/src/process/sidecar/sidecar_settings.h
@@ -43,6 +43,15 @@
   common::milliseconds maxHold{ 10000 };
 };
 
+// How the upstream is granted keys.
+enum class grant_method
+{
+  // In the responses to its announcements.
+  kResponse,
+  // By calls at its address.
+  kDirect,
+};
+
 struct sidecar_settings
 {
   // IP address of the VM; identifies the daemon.
@@ -54,6 +63,7 @@
   common::endpoint platform;
   // How often the upstream announces itself.
   common::milliseconds announcePeriod{ 1000 };
+  grant_method grants = grant_method::kResponse;
   // The fleet is being started for the first time.
   bool firstStart = false;
   sidecar_listeners listen;
--- a/src/process/sidecar/upstream_codec.h
+++ b/src/process/sidecar/upstream_codec.h
@@ -19,7 +19,16 @@
   std::string handover;
 };
 
-struct announcement
+// What the upstream holds.
+struct key_report
+{
+  // Ranges that the upstream holds or for which it still runs requests.
+  std::vector<version::held_range> holds;
+  // Ranges released since the last report.
+  std::vector<released_range> released;
+};
+
+struct announcement : public key_report
 {
   version::upstream_id id;
   common::endpoint address;
@@ -32,9 +41,6 @@
   uint64_t sequence = 0;
   // Remaining warm-up time after the start, during which the upstream is slow.
   common::milliseconds warmupLeft{ 0 };
-  // Ranges that the upstream holds or for which it still runs requests.
-  std::vector<version::held_range> holds;
-  std::vector<released_range> released;
 };
 
 // All ranges that the upstream holds from now on; others are to be released.
@@ -45,6 +51,29 @@
   common::milliseconds holdTime{ 0 };
 };
 
+// A call to the upstream about its keys.
+struct key_call
+{
+  connection::http::request_head head;
+  std::string body;
+};
+
+// The upstream's response to such a call.
+struct key_call_answer
+{
+  enum class outcome
+  {
+    kDone,
+    // The upstream knows a higher fencing token for one of the keys.
+    kSuperseded,
+    // Not a response to this call.
+    kInvalid,
+  };
+  outcome result = outcome::kInvalid;
+  // Of a release.
+  std::string handover;
+};
+
 enum class upstream_message
 {
   kAnnounce,
@@ -67,6 +96,15 @@
                                                           std::string_view aBody) const = 0;
   // Body of the response to an announcement. Without a grant it does not extend any key.
   virtual std::string EncodeAcknowledgement(const std::optional<grant>& aGrant) const = 0;
+  // Calls by which an upstream is granted a range or asked to release it. Upstreams other than
+  // aUpstream reject them.
+  virtual key_call EncodeGrant(const version::upstream_id& aUpstream,
+                               const version::held_range& aRange,
+                               common::milliseconds aHoldTime) const = 0;
+  virtual key_call EncodeRelease(const version::upstream_id& aUpstream,
+                                 const version::held_range& aRange) const = 0;
+  virtual key_call_answer ReadGrantAnswer(const connection::http::response_head& aHead) const = 0;
+  virtual key_call_answer ReadReleaseAnswer(const connection::http::response_head& aHead) const = 0;
 };
 
 } // namespace bamboograde::process::sidecar
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -176,3 +176,35 @@
     cr_assert_not(document.Decode(common::json::parse(text)).has_value(), "%s", text);
   }
 }
+
+Test(upstream_messages, encodes_calls_about_keys_and_reads_their_responses)
+{
+  using outcome = process::sidecar::key_call_answer::outcome;
+  platform::upstream_messages messages;
+  version::held_range range{ { 4096, 8191 }, version::fencing_token(12), "5c0e" };
+  auto grant = messages.EncodeGrant(version::upstream_id("i-1"), range, common::milliseconds(4000));
+  cr_assert(grant.head.target == "/v1/grant");
+  cr_assert(*grant.head.headers.Find("X-Bamboograde-Target-Instance") == "i-1");
+  cr_assert(
+    common::json::parse(grant.body) ==
+    common::json::parse(R"({"from":4096,"to":8191,"fence":12,"holdMs":4000,"handover":"5c0e"})"));
+  range.handover.clear();
+  grant = messages.EncodeGrant(version::upstream_id("i-1"), range, common::milliseconds(4000));
+  cr_assert(grant.body.find("handover") == std::string::npos);
+  auto release = messages.EncodeRelease(version::upstream_id("i-1"), range);
+  cr_assert(release.head.target == "/v1/release");
+  cr_assert(common::json::parse(release.body) ==
+            common::json::parse(R"({"from":4096,"to":8191,"fence":12})"));
+  response_head head;
+  for (auto [status, result] :
+       { std::pair(200, outcome::kDone), std::pair(409, outcome::kSuperseded),
+         std::pair(400, outcome::kInvalid), std::pair(503, outcome::kInvalid) }) {
+    head.status = status;
+    cr_assert(messages.ReadGrantAnswer(head).result == result, "status %d", status);
+    cr_assert(messages.ReadReleaseAnswer(head).result == outcome::kInvalid, "status %d", status);
+  }
+  head.status = 200;
+  head.headers.Add("X-Bamboograde-Handover", "warm");
+  cr_assert(messages.ReadReleaseAnswer(head).result == outcome::kDone);
+  cr_assert(messages.ReadReleaseAnswer(head).handover == "warm");
+}
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -32,6 +32,11 @@
   return Network() + ".9:7999";
 }
 
+const char* GrantsText(process::sidecar::grant_method aGrants)
+{
+  return aGrants == process::sidecar::grant_method::kDirect ? "direct" : "heartbeat";
+}
+
 common::json Route(const std::string& aPrefix, const std::string& aKind,
                    const std::string& aService)
 {
@@ -44,11 +49,12 @@
 
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
                    const std::string& aService, common::milliseconds aAnnouncePeriod,
-                   fleet_record& aRecord)
+                   process::sidecar::grant_method aGrants, fleet_record& aRecord)
   : mVm(Network() + "." + std::to_string(aNumber))
   , mService(aService)
   , mNumber(aNumber)
   , mAnnouncePeriod(aAnnouncePeriod)
+  , mGrants(aGrants)
   , mSettingsPath("/tmp/bamboograde-fleet-" + std::to_string(getpid()) + "-" +
                   std::to_string(aNumber) + ".yaml")
 {
@@ -58,6 +64,7 @@
   options.address = common::endpoint(mVm + ":7000");
   options.daemon = common::endpoint(mVm + ":7005");
   options.announcePeriod = aAnnouncePeriod;
+  options.directGrants = aGrants == process::sidecar::grant_method::kDirect;
   upstream = std::make_unique<upstream_standin>(aLoop, options, aRecord);
   cr_assert(upstream->Start().has_value());
   WriteSettings();
@@ -76,6 +83,7 @@
                                << "\nservice: " << mService << "\nupstream: " << mVm << ":7000"
                                << "\nplatform: " << TableAddress()
                                << "\nannounce_period_ms: " << mAnnouncePeriod.count()
+                               << "\ngrants: " << GrantsText(mGrants)
                                << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
                                << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
                                << ":7004\n  announcements: " << mVm
@@ -153,7 +161,8 @@
 }
 
 fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices,
-                             common::milliseconds aAnnouncePeriod)
+                             common::milliseconds aAnnouncePeriod,
+                             process::sidecar::grant_method aGrants)
   : table(loop)
   , mClients(loop)
 {
@@ -161,7 +170,8 @@
   Configure(1);
   unsigned number = 0;
   for (const std::string& service : aServices) {
-    vms.push_back(std::make_unique<fleet_vm>(loop, ++number, service, aAnnouncePeriod, record));
+    vms.push_back(
+      std::make_unique<fleet_vm>(loop, ++number, service, aAnnouncePeriod, aGrants, record));
   }
 }
 
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -2,6 +2,7 @@
 // table service in the test process.
 #pragma once
 
+#include "process/sidecar/sidecar_settings.h"
 #include "standins/fleet/table_standin.h"
 #include "standins/fleet/upstream_standin.h"
 
@@ -14,7 +15,8 @@
 {
 public:
   fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber, const std::string& aService,
-           common::milliseconds aAnnouncePeriod, fleet_record& aRecord);
+           common::milliseconds aAnnouncePeriod, process::sidecar::grant_method aGrants,
+           fleet_record& aRecord);
   ~fleet_vm();
   fleet_vm(const fleet_vm&) = delete;
   fleet_vm& operator=(const fleet_vm&) = delete;
@@ -42,6 +44,7 @@
   std::string mService;
   unsigned mNumber;
   common::milliseconds mAnnouncePeriod;
+  process::sidecar::grant_method mGrants;
   std::string mSettingsPath;
   pid_t mDaemon = -1;
 };
@@ -89,8 +92,10 @@
   static constexpr common::milliseconds kRequestTimeout{ 2000 };
 
   // aServices: the service of each VM, in order; its size is the number of VMs.
-  explicit fleet_fixture(const std::vector<std::string>& aServices,
-                         common::milliseconds aAnnouncePeriod = common::milliseconds(100));
+  explicit fleet_fixture(
+    const std::vector<std::string>& aServices,
+    common::milliseconds aAnnouncePeriod = common::milliseconds(100),
+    process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse);
   void RunFor(common::milliseconds aTime);
   // Runs the event loop until the condition holds; fails the test after the timeout.
   void RunUntil(const std::function<bool()>& aCondition, common::milliseconds aTimeout,
--- a/tests/process/sidecar/key_handoffs_test.cpp
+++ b/tests/process/sidecar/key_handoffs_test.cpp
@@ -3,8 +3,8 @@
 #include <criterion/criterion.h>
 
 using namespace bamboograde;
-using process::sidecar::announcement;
 using process::sidecar::key_handoffs;
+using process::sidecar::key_report;
 using process::sidecar::released_range;
 
 namespace {
@@ -12,10 +12,10 @@
 constexpr char kOwner[] = "10.0.0.1";
 constexpr char kTarget[] = "10.0.0.2";
 
-announcement Announcement(const std::vector<version::key_range>& aHolds,
-                          std::vector<released_range> aReleased)
+key_report Report(const std::vector<version::key_range>& aHolds,
+                  std::vector<released_range> aReleased)
 {
-  announcement heard;
+  key_report heard;
   for (const version::key_range& range : aHolds) {
     heard.holds.push_back({ range, version::fencing_token(1), "" });
   }
@@ -81,10 +81,9 @@
 Test(key_departures, part_and_whole_range_released_together_get_one_owner)
 {
   key_handoffs handoffs = OneHandoff();
-  handoffs.OnAnnouncement(
-    Announcement({ { 1000, 1200 }, { 1000, 1999 } }, { { { 1201, 1201 }, "a" } }));
+  handoffs.OnReport(Report({ { 1000, 1200 }, { 1000, 1999 } }, { { { 1201, 1201 }, "a" } }));
   cr_assert_not(handoffs.ReadyToCommit(false));
-  handoffs.OnAnnouncement(Announcement({}, { { { 1000, 1200 }, "b" }, { { 1000, 1999 }, "c" } }));
+  handoffs.OnReport(Report({}, { { { 1000, 1200 }, "b" }, { { 1000, 1999 }, "c" } }));
   version::key_map map = ApplyAndCheckHandoffs(handoffs);
   cr_assert(HandoverOf(map, 1200) == "b");
   cr_assert(HandoverOf(map, 1201) == "c");
@@ -94,8 +93,8 @@
 Test(key_departures, overlapping_released_ranges_get_one_owner)
 {
   key_handoffs handoffs = OneHandoff();
-  handoffs.OnAnnouncement(
-    Announcement({}, { { { 0, 1200 }, "a" }, { { 1000, 1999 }, "b" }, { { 1100, 1300 }, "c" } }));
+  handoffs.OnReport(
+    Report({}, { { { 0, 1200 }, "a" }, { { 1000, 1999 }, "b" }, { { 1100, 1300 }, "c" } }));
   version::key_map map = ApplyAndCheckHandoffs(handoffs);
   cr_assert(HandoverOf(map, 1000) == "a");
   cr_assert(HandoverOf(map, 1250) == "b");
@@ -105,10 +104,10 @@
 Test(key_departures, handover_of_a_part_released_first_is_kept)
 {
   key_handoffs handoffs = OneHandoff();
-  handoffs.OnAnnouncement(
-    Announcement({ { 1500, 1500 } }, { { { 1000, 1499 }, "a" }, { { 1501, 1999 }, "b" } }));
+  handoffs.OnReport(
+    Report({ { 1500, 1500 } }, { { { 1000, 1499 }, "a" }, { { 1501, 1999 }, "b" } }));
   cr_assert_not(handoffs.ReadyToCommit(false));
-  handoffs.OnAnnouncement(Announcement({}, { { { 1500, 1500 }, "c" } }));
+  handoffs.OnReport(Report({}, { { { 1500, 1500 }, "c" } }));
   version::key_map map = ApplyAndCheckHandoffs(handoffs);
   cr_assert(HandoverOf(map, 1000) == "a");
   cr_assert(HandoverOf(map, 1500) == "c");
@@ -119,8 +118,8 @@
 Test(key_departures, range_held_again_is_committed_only_after_the_grants_expire)
 {
   key_handoffs handoffs = OneHandoff();
-  handoffs.OnAnnouncement(Announcement({}, { { { 1000, 1999 }, "a" } }));
-  handoffs.OnAnnouncement(Announcement({ { 1000, 1999 } }, {}));
+  handoffs.OnReport(Report({}, { { { 1000, 1999 }, "a" } }));
+  handoffs.OnReport(Report({ { 1000, 1999 } }, {}));
   cr_assert_not(handoffs.ReadyToCommit(false));
   cr_assert(handoffs.ReadyToCommit(true));
 }
@@ -129,7 +128,7 @@
 Test(key_departures, ranges_no_longer_owned_are_not_moved)
 {
   key_handoffs handoffs = OneHandoff();
-  handoffs.OnAnnouncement(Announcement({}, {}));
+  handoffs.OnReport(Report({}, {}));
   version::key_map map = Map();
   version::key_range elsewhere{ 1400, 1599 };
   version::RemoveRange(map.Owner(kOwner), elsewhere);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 const std::vector<std::string> kServices = { "keyed", "keyed", "keyed", "keyed", "plain", "plain" };
+constexpr common::milliseconds kAnnouncePeriod{ 100 };
 constexpr common::milliseconds kStep{ 10 };
 constexpr unsigned kRequestsPerStep = 3;
 constexpr common::milliseconds kStartTimeout{ 8000 };
@@ -18,10 +19,11 @@
 
 } // namespace
 
-soak::soak(uint64_t aSeed, common::milliseconds aDuration)
+soak::soak(uint64_t aSeed, process::sidecar::grant_method aGrants, common::milliseconds aDuration)
   : mRandom(aSeed)
+  , mGrants(aGrants)
   , mDuration(aDuration)
-  , mFleet(kServices)
+  , mFleet(kServices, kAnnouncePeriod, aGrants)
   , mTraffic(mFleet, mRandom)
   , mVms(kServices.size())
 {
@@ -50,6 +52,10 @@
   RecordEvent("all faults have been cleared");
   CheckRecovery();
   mTraffic.CheckRuns();
+  if (mFleet.record.staleTokens > 0) {
+    mViolations.push_back(fmt::format("keys were taken {} times with a token that was not new",
+                                      mFleet.record.staleTokens));
+  }
   mViolations.insert(mViolations.end(), mTraffic.Violations().begin(), mTraffic.Violations().end());
   if (!mViolations.empty()) {
     mViolations.insert(mViolations.end(), mHistory.begin(), mHistory.end());
@@ -83,6 +89,10 @@
 void soak::Inject()
 {
   size_t vm = size_t(mRandom.Below(mVms.size()));
+  if (mGrants == process::sidecar::grant_method::kDirect && mRandom.Below(4) == 0) {
+    InjectKeyCallFault(vm);
+    return;
+  }
   switch (mRandom.Below(6)) {
     case 0:
     case 1:
@@ -145,6 +155,25 @@
   }
 }
 
+void soak::InjectKeyCallFault(size_t aVm)
+{
+  upstream_standin& upstream = *mFleet.vms[aVm]->upstream;
+  auto count = unsigned(1 + mRandom.Below(4));
+  switch (mRandom.Below(3)) {
+    case 0:
+      upstream.PerformLate(count, RandomDuration(50, 2500));
+      RecordEvent(fmt::format("upstream {} performs {} calls about keys late", aVm, count));
+      return;
+    case 1:
+      upstream.DropKeyAnswers(count);
+      RecordEvent(fmt::format("upstream {} loses {} responses to calls about keys", aVm, count));
+      return;
+    default:
+      upstream.RejectKeyCalls(count, mRandom.Below(2) == 0 ? 500 : 409);
+      RecordEvent(fmt::format("upstream {} rejects {} calls about keys", aVm, count));
+  }
+}
+
 void soak::InjectTableFault()
 {
   switch (mRandom.Below(4)) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,7 +1,8 @@
 // Runs daemon processes under random faults and checks their guarantees.
 //
 // Faults overlap: daemons are killed, paused, terminated and started again; upstreams crash, leave
-// and return; the table service is down, loses responses and drops its change history; the
+// and return; upstreams that are granted keys by calls perform these late, reject them or lose the
+// responses; the table service is down, loses responses and drops its change history; the
 // configuration changes. Checked at every step, on random keys: no key has two holders. Checked for
 // each response: it belongs to its request. Checked at the end: a booking ran at most once, a
 // request with a not-run status did not run, and all requests are served again in time after the
@@ -15,7 +16,7 @@
 class soak
 {
 public:
-  soak(uint64_t aSeed, common::milliseconds aDuration);
+  soak(uint64_t aSeed, process::sidecar::grant_method aGrants, common::milliseconds aDuration);
   // Returns the violations, one per line, followed by the fault history; empty if there are none.
   std::vector<std::string> Run();
   std::string Summary() const;
@@ -42,6 +43,7 @@
   void Inject();
   void InjectDaemonFault(size_t aVm);
   void InjectUpstreamFault(size_t aVm);
+  void InjectKeyCallFault(size_t aVm);
   void InjectTableFault();
   void ClearFaults(bool aAll);
   void RestoreDaemon(size_t aVm);
@@ -53,6 +55,7 @@
   void RecordEvent(const std::string& aEvent);
 
   common::seeded_random mRandom;
+  process::sidecar::grant_method mGrants;
   common::milliseconds mDuration;
   fleet_fixture mFleet;
   soak_traffic mTraffic;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 using namespace bamboograde;
+using process::sidecar::grant_method;
 
 namespace {
 
@@ -23,36 +24,46 @@
   24
 };
 
-// The regression seeds and seeds 1 and 2, or the range "FIRST LAST" (inclusive) from the
-// environment.
-std::vector<uint64_t> Seeds()
+struct soak_case
+{
+  uint64_t seed;
+  grant_method grants;
+};
+
+// The regression seeds, and with both ways of granting keys seeds 1 and 2 or the range "FIRST LAST"
+// (inclusive) from the environment.
+std::vector<soak_case> Cases()
 {
   uint64_t first = 1;
   uint64_t last = 2;
-  std::vector<uint64_t> seeds;
+  std::vector<soak_case> cases;
   if (const char* text = std::getenv(kSeedsVariable); text != nullptr) {
     std::istringstream(text) >> first >> last;
   } else {
-    seeds = kRegressionSeeds;
+    for (uint64_t seed : kRegressionSeeds) {
+      cases.push_back({ seed, grant_method::kResponse });
+    }
   }
   for (uint64_t seed = first; seed <= last; ++seed) {
-    seeds.push_back(seed);
+    cases.push_back({ seed, grant_method::kResponse });
+    cases.push_back({ seed, grant_method::kDirect });
   }
-  return seeds;
+  return cases;
 }
 
 } // namespace
 
 Test(soak, guarantees_hold_under_random_faults, .timeout = 3600)
 {
-  for (uint64_t seed : Seeds()) {
-    tests::soak run(seed, kDuration);
+  for (auto [seed, grants] : Cases()) {
+    const char* channel = grants == grant_method::kDirect ? "calls" : "responses";
+    tests::soak run(seed, grants, kDuration);
     auto violations = run.Run();
-    cr_log_info("seed %lu: %s, %s", seed, run.Summary().c_str(),
+    cr_log_info("seed %lu, grants in %s: %s, %s", seed, channel, run.Summary().c_str(),
                 violations.empty() ? "held" : "broken");
     for (const std::string& line : violations) {
-      cr_log_error("seed %lu: %s", seed, line.c_str());
+      cr_log_error("seed %lu, grants in %s: %s", seed, channel, line.c_str());
     }
-    cr_expect(violations.empty(), "seed %lu", seed);
+    cr_expect(violations.empty(), "seed %lu, grants in %s", seed, channel);
   }
 }
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -1,6 +1,7 @@
 #include "standins/fleet/upstream_standin.h"
 
 #include "common/json.h"
+#include "process/sidecar/small_message.h"
 
 #include <algorithm>
 
@@ -13,6 +14,10 @@
 constexpr common::milliseconds kAnnounceTimeout{ 1000 };
 // Longest delay of the announcement that follows the release of keys.
 constexpr common::milliseconds kMaxReleaseDelay{ 100 };
+// How often a release looks whether the requests for its keys have ended.
+constexpr common::milliseconds kReleaseCheckPeriod{ 5 };
+// Every such key is sampled for the check of tokens.
+constexpr uint32_t kTokenSampleStep = 1024;
 constexpr int64_t kFirstStartTimeMs = 1700000000000;
 
 std::string HeaderOf(const server_exchange_ptr& aExchange, const char* aName)
@@ -127,6 +132,9 @@
   mLeaving = false;
   mDeregistered = false;
   mHolds.clear();
+  mGranted.clear();
+  mSeen.clear();
+  mRunningKeys.clear();
   mReleased = common::json::array();
   mListener = std::make_unique<connection::http::tcp_listener>(mLoop, [this](int aFd) {
     if (mEndlessBlock.empty()) {
@@ -146,27 +154,183 @@
   mListener.reset();
   mTimer.Cancel();
   mHolds.clear();
+  mGranted.clear();
   mWorkTimers.clear();
+  mRunningKeys.clear();
   mRunning = 0;
 }
 
 bool upstream_standin::Holds(uint32_t aKey) const
 {
-  return mLoop.Now() < mHoldUntil &&
-         std::any_of(mHolds.begin(), mHolds.end(), [aKey](const version::held_range& aHeld) {
-           return aHeld.range.Contains(aKey);
+  common::boot_time now = mLoop.Now();
+  bool inResponse = now < mHoldUntil && std::any_of(mHolds.begin(), mHolds.end(),
+                                                    [aKey](const version::held_range& aHeld) {
+                                                      return aHeld.range.Contains(aKey);
+                                                    });
+  return inResponse ||
+         std::any_of(mGranted.begin(), mGranted.end(), [&](const granted_range& aGranted) {
+           return now < aGranted.until && aGranted.held.range.Contains(aKey);
          });
 }
 
 size_t upstream_standin::HeldKeys() const
 {
+  version::key_owner held;
+  for (const version::held_range& range : mHolds) {
+    if (mLoop.Now() < mHoldUntil) {
+      version::AddRange(&held, { range.range, {}, "" });
+    }
+  }
+  for (const granted_range& granted : mGranted) {
+    if (mLoop.Now() < granted.until) {
+      version::AddRange(&held, { granted.held.range, {}, "" });
+    }
+  }
   size_t count = 0;
-  for (const version::held_range& held : mHolds) {
-    count += mLoop.Now() < mHoldUntil ? held.range.Size() : 0;
+  for (const version::held_range& range : held.ranges) {
+    count += range.range.Size();
   }
   return count;
 }
 
+void upstream_standin::RecordTokens(const version::held_range& aRange)
+{
+  std::string incarnation = mOptions.vm + "@" + std::to_string(mIncarnation);
+  uint32_t first = (aRange.range.first + kTokenSampleStep - 1) / kTokenSampleStep;
+  for (uint32_t key = first * kTokenSampleStep; key <= aRange.range.last; key += kTokenSampleStep) {
+    auto& [holder, token] = mRecord.lastHolders[key];
+    mRecord.staleTokens += holder != incarnation && aRange.token.Value() <= token ? 1 : 0;
+    if (aRange.token.Value() >= token) {
+      holder = incarnation;
+      token = aRange.token.Value();
+    }
+  }
+}
+
+void upstream_standin::PerformLate(unsigned aCount, common::milliseconds aDelay)
+{
+  mLateKeyCalls = aCount;
+  mKeyCallDelay = aDelay;
+}
+
+void upstream_standin::RejectKeyCalls(unsigned aCount, int aStatus)
+{
+  mKeyCallsToReject = aCount;
+  mRejectStatus = aStatus;
+}
+
+void upstream_standin::After(common::milliseconds aDelay, std::function<void()> aAction)
+{
+  mWorkTimers.push_back(std::make_unique<connection::http::loop_timer>(mLoop, std::move(aAction)));
+  mWorkTimers.back()->Arm(mLoop.Now() + aDelay);
+}
+
+void upstream_standin::OnKeyCall(const server_exchange_ptr& aExchange)
+{
+  process::sidecar::ReadBody(mLoop, aExchange, [this](const server_exchange_ptr& aWhole) {
+    common::json body = common::json::parse(aWhole->TakeBody());
+    common::boot_time arrivedAt = mLoop.Now();
+    if (mKeyCallsToReject > 0) {
+      --mKeyCallsToReject;
+      connection::http::response_head head;
+      head.status = mRejectStatus;
+      aWhole->Respond(head, "no");
+    } else if (mLateKeyCalls > 0) {
+      --mLateKeyCalls;
+      After(mKeyCallDelay,
+            [this, aWhole, body, arrivedAt] { PerformKeyCall(aWhole, body, arrivedAt, false); });
+    } else {
+      bool answer = mKeyAnswersToDrop == 0;
+      mKeyAnswersToDrop -= answer ? 0 : 1;
+      PerformKeyCall(aWhole, body, arrivedAt, answer);
+      if (!answer) {
+        aWhole->Abort();
+      }
+    }
+  });
+}
+
+void upstream_standin::PerformKeyCall(const server_exchange_ptr& aExchange,
+                                      const common::json& aBody, common::boot_time aArrivedAt,
+                                      bool aAnswer)
+{
+  if (aExchange->Head().target == "/v1/release") {
+    Release(aExchange,
+            { { aBody["from"], aBody["to"] },
+              version::fencing_token(aBody["fence"].get<uint64_t>()),
+              "" },
+            aAnswer);
+    return;
+  }
+  connection::http::response_head head;
+  head.status = TakeGrant(aBody, aArrivedAt) ? 200 : 409;
+  if (aAnswer) {
+    aExchange->Respond(head, "");
+  }
+}
+
+// Returns false if a higher token was seen for one of the keys.
+bool upstream_standin::TakeGrant(const common::json& aBody, common::boot_time aArrivedAt)
+{
+  version::held_range held{ { aBody["from"], aBody["to"] },
+                            version::fencing_token(aBody["fence"].get<uint64_t>()),
+                            aBody.value("handover", "") };
+  for (const version::held_range& seen : mSeen) {
+    if (seen.token > held.token && version::Intersection(seen.range, held.range).has_value()) {
+      return false;
+    }
+  }
+  version::key_owner tokens;
+  tokens.ranges = mSeen;
+  version::AddRange(&tokens, { held.range, held.token, "" });
+  mSeen = tokens.ranges;
+  common::boot_time until = aArrivedAt + common::milliseconds(aBody["holdMs"].get<int64_t>());
+  std::erase_if(mGranted, [&](const granted_range& aItem) {
+    return aItem.until <= mLoop.Now() || (aItem.held.range == held.range && aItem.until <= until);
+  });
+  if (mLoop.Now() < until) {
+    mGranted.push_back({ held, until });
+    RecordTokens(held);
+  }
+  return true;
+}
+
+void upstream_standin::Release(const server_exchange_ptr& aExchange,
+                               const version::held_range& aRange, bool aAnswer)
+{
+  std::vector<granted_range> kept;
+  for (const granted_range& granted : mGranted) {
+    version::key_owner rest;
+    rest.ranges.push_back(granted.held);
+    if (granted.held.token <= aRange.token) {
+      version::RemoveRange(&rest, aRange.range);
+    }
+    for (const version::held_range& range : rest.ranges) {
+      kept.push_back({ range, granted.until });
+    }
+  }
+  mGranted = std::move(kept);
+  if (aAnswer) {
+    AnswerRelease(aExchange, aRange);
+  }
+}
+
+// Responds when the requests for the keys have ended.
+void upstream_standin::AnswerRelease(const server_exchange_ptr& aExchange,
+                                     const version::held_range& aRange)
+{
+  auto running = mRunningKeys.lower_bound(aRange.range.first);
+  if (running != mRunningKeys.end() && *running <= aRange.range.last) {
+    After(kReleaseCheckPeriod, [this, aExchange, aRange] { AnswerRelease(aExchange, aRange); });
+    return;
+  }
+  connection::http::response_head head;
+  head.status = 200;
+  head.headers.Add("X-Bamboograde-Handover",
+                   "from-" + mOptions.vm + "-" + std::to_string(aRange.token.Value()));
+  aExchange->Respond(head, "");
+}
+
 void upstream_standin::Announce()
 {
   mTimer.Arm(mLoop.Now() + mOptions.announcePeriod);
@@ -203,9 +367,11 @@
                         { "born", kFirstStartTimeMs + int64_t(mIncarnation) },
                         { "info",
                           { { "service", mOptions.service }, { "slots", mOptions.slots } } },
-                        { "status", { { "state", aState }, { "callSeq", ++mSequence } } },
-                        { "holds", holds },
-                        { "freed", mReleased } };
+                        { "status", { { "state", aState }, { "callSeq", ++mSequence } } } };
+  if (!mOptions.directGrants) {
+    body["holds"] = holds;
+    body["freed"] = mReleased;
+  }
   common::boot_time now = mLoop.Now();
   connection::http::Fetch(
     mLoop, mPool,
@@ -234,6 +400,7 @@
   for (const common::json& row : body["holds"]) {
     mHolds.push_back(
       { { row[0], row[1] }, version::fencing_token(row[2].get<uint64_t>()), row[3] });
+    RecordTokens(mHolds.back());
   }
   mHoldUntil = aSentAt + common::milliseconds(body["holdMs"].get<int64_t>());
   for (const version::held_range& held : formerHolds) {
@@ -280,6 +447,10 @@
     RespondHealth(aExchange);
     return;
   }
+  if (aExchange->Head().target == "/v1/grant" || aExchange->Head().target == "/v1/release") {
+    OnKeyCall(aExchange);
+    return;
+  }
   std::string id = HeaderOf(aExchange, "X-Bamboograde-Request-Id");
   std::string key = HeaderOf(aExchange, "X-Bamboograde-Shard-Key");
   connection::http::response_head refusal;
@@ -295,17 +466,27 @@
   mRecord.exceededSlots += mRunning >= mOptions.slots ? 1 : 0;
   ++mRunning;
   ++mRecord.runs[id];
-  new body_reader(mLoop, aExchange, [this, aExchange, id](size_t aBytes) {
+  new body_reader(mLoop, aExchange, [this, aExchange, id, key](size_t aBytes) {
     mRecord.bodyBytes[id] = aBytes;
-    Run(aExchange, id);
+    Run(aExchange, id, key);
   });
 }
 
-void upstream_standin::Run(const server_exchange_ptr& aExchange, const std::string& aId)
+void upstream_standin::Run(const server_exchange_ptr& aExchange, const std::string& aId,
+                           const std::string& aKey)
 {
-  mWorkTimers.push_back(std::make_unique<connection::http::loop_timer>(
-    mLoop, [this, aExchange, aId] { Finish(aExchange, aId); }));
-  mWorkTimers.back()->Arm(mLoop.Now() + mOptions.work);
+  std::optional<uint32_t> key;
+  if (!aKey.empty()) {
+    key = uint32_t(std::stoul(aKey));
+    mRunningKeys.insert(*key);
+  }
+  After(mOptions.work, [this, aExchange, aId, key] {
+    if (auto found = key.has_value() ? mRunningKeys.find(*key) : mRunningKeys.end();
+        found != mRunningKeys.end()) {
+      mRunningKeys.erase(found);
+    }
+    Finish(aExchange, aId);
+  });
 }
 
 void upstream_standin::Finish(const server_exchange_ptr& aExchange, const std::string& aId)
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -1,5 +1,5 @@
-// Stand-in for an upstream: announces itself to its daemon, holds the keys it is granted, and runs
-// requests.
+// Stand-in for an upstream: announces itself to its daemon, holds the keys it is granted in the
+// responses or by calls, and runs requests.
 //
 // Records violations that an upstream can detect: requests beyond its slots and requests for keys
 // it does not hold. Also counts how often each request ran.
@@ -23,6 +23,8 @@
   unsigned slots = 4;
   common::milliseconds work{ 20 };
   common::milliseconds announcePeriod{ 100 };
+  // Keys are granted by calls; announcements say nothing about keys.
+  bool directGrants = false;
 };
 
 // Observations of all upstreams of a test.
@@ -34,6 +36,10 @@
   unsigned sharedKeys = 0;
   // Size of the received body in bytes, by request id.
   std::map<std::string, size_t> bodyBytes;
+  // Keys that an upstream took with a fencing token that another incarnation had had.
+  unsigned staleTokens = 0;
+  // The incarnation that last took each of the sampled keys, and its token.
+  std::map<uint32_t, std::pair<std::string, uint64_t>> lastHolders;
   unsigned misdirected = 0;
   unsigned exceededSlots = 0;
 };
@@ -63,6 +69,11 @@
   unsigned EndlessResponses() const { return mEndlessResponses; }
   // Runs the next requests, but closes their connections without a response.
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
+  // Calls about keys: the next ones are performed after a delay and not answered, or are performed
+  // at once and their connections are closed, or get this response and are not performed.
+  void PerformLate(unsigned aCount, common::milliseconds aDelay);
+  void DropKeyAnswers(unsigned aCount) { mKeyAnswersToDrop = aCount; }
+  void RejectKeyCalls(unsigned aCount, int aStatus);
   // Sets how long requests run from now on.
   void SetWork(common::milliseconds aWork) { mOptions.work = aWork; }
   // Runs the next requests and responds with status 500.
@@ -75,11 +86,29 @@
   void OnRequest(const connection::http::server_exchange_ptr& aExchange) override;
 
 private:
+  // A range granted by a call.
+  struct granted_range
+  {
+    version::held_range held;
+    common::boot_time until;
+  };
+
+  void OnKeyCall(const connection::http::server_exchange_ptr& aExchange);
+  void PerformKeyCall(const connection::http::server_exchange_ptr& aExchange,
+                      const common::json& aBody, common::boot_time aArrivedAt, bool aAnswer);
+  bool TakeGrant(const common::json& aBody, common::boot_time aArrivedAt);
+  void Release(const connection::http::server_exchange_ptr& aExchange,
+               const version::held_range& aRange, bool aAnswer);
+  void AnswerRelease(const connection::http::server_exchange_ptr& aExchange,
+                     const version::held_range& aRange);
+  void After(common::milliseconds aDelay, std::function<void()> aAction);
+  void RecordTokens(const version::held_range& aRange);
   void Announce();
   void SendAnnouncement(const char* aState);
   void OnAcknowledged(const connection::http::fetch_result& aResult, common::boot_time aSentAt);
   void RespondHealth(const connection::http::server_exchange_ptr& aExchange);
-  void Run(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
+  void Run(const connection::http::server_exchange_ptr& aExchange, const std::string& aId,
+           const std::string& aKey);
   void Finish(const connection::http::server_exchange_ptr& aExchange, const std::string& aId);
 
   connection::http::event_loop& mLoop;
@@ -92,6 +121,15 @@
   std::vector<version::held_range> mHolds;
   common::boot_time mHoldUntil;
   common::json mReleased = common::json::array();
+  std::vector<granted_range> mGranted;
+  // Highest token seen for each range.
+  std::vector<version::held_range> mSeen;
+  std::multiset<uint32_t> mRunningKeys;
+  unsigned mLateKeyCalls = 0;
+  common::milliseconds mKeyCallDelay{ 0 };
+  unsigned mKeyAnswersToDrop = 0;
+  unsigned mKeyCallsToReject = 0;
+  int mRejectStatus = 0;
   unsigned mRunning = 0;
   unsigned mResponsesToDrop = 0;
   unsigned mResponsesToFail = 0;
