Believe only responses that name their request

What callers saw: a faulty upstream that writes an earlier refusal once more on a kept connection had the next caller told 'not run' for a request that ran (503); the copy of an earlier answer was delivered as the answer to another request. Cause: local_attempt took a response without a request id for its own. Upstreams name the request in every response to it, so such bytes belong to another request. Change: a response is the attempt's own only if it bears the request's id. The bytes of the test of endless responses name the request now, as an upstream's do.

--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -127,8 +127,9 @@
 
 bool local_attempt::IsOwnResponse(const connection::http::response_head& aHead)
 {
-  common::request_id answered = mRuntime.headers.AnsweredRequest(aHead.headers);
-  return answered.Empty() || answered == mFacts.id;
+  // An upstream names the request in every response to it. One without an id may be a copy of a
+  // response to another request.
+  return mRuntime.headers.AnsweredRequest(aHead.headers) == mFacts.id;
 }
 
 void local_attempt::OnCallHead(connection::http::response_head& aHead)
--- a/tests/platform/direct_grants_test.cpp
+++ b/tests/platform/direct_grants_test.cpp
@@ -107,6 +107,8 @@
   Run(test, milliseconds(100));
   grants.Update();
   cr_expect_eq(owner.held, aCase.heldAfterRelease, "%s: after the release", aCase.name);
+  // A late copy of a response can only arrive on a connection that is not used any more.
+  cr_expect_geq(server.Accepted(), int(calls), "%s: a connection was used twice", aCase.name);
   // Whatever the response was, nothing is held when the hold time and the longest call are over.
   for (int step = 0; step < 12; ++step) {
     Run(test, milliseconds(100));
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -179,7 +179,8 @@
 {
   common::json routes = { { "keyed", Route("/keyed/", "safe", kKeyedService) },
                           { "plain", Route("/plain/", "safe", "plain") },
-                          { "book", Route("/book/", "unsafe", "plain") } };
+                          { "book", Route("/book/", "unsafe", "plain") },
+                          { "order", Route("/order/", "unsafe", kKeyedService) } };
   if (!aExtraRoutePrefix.empty()) {
     routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain");
   }
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -366,6 +366,7 @@
   constexpr common::milliseconds kDeadlineMargin{ 500 };
   constexpr size_t kMaxPeakKib = size_t(64) * 1024;
   const std::string head = "HTTP/1.1 200 OK\r\nX-Bamboograde-Server-Stamp: s\r\n";
+  const std::string own = head + "X-Bamboograde-Request-Id: $ID\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   const std::string bytes(size_t(256) * 1024, 'x');
   struct endless_response
@@ -379,10 +380,11 @@
     { "", bytes, 502 },
     { head + "X-Long: ", bytes, 502 },
     { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n", 504 },
-    { head + "\r\n", bytes, 0 },
-    { head + chunked + "1;", bytes, 502 },
+    { own + "\r\n", bytes, 0 },
+    { own + chunked + "1;", bytes, 502 },
     { head + "X-Bamboograde-Request-Id: other\r\n\r\n", bytes, 502 },
-    { "HTTP/1.1 503 Busy\r\nX-Bamboograde-Not-Executed: 1\r\n\r\n", bytes, 503 },
+    { "HTTP/1.1 503 Busy\r\nX-Bamboograde-Request-Id: $ID\r\nX-Bamboograde-Not-Executed: 1\r\n\r\n",
+      bytes, 503 },
   };
   for (const endless_response& endless : responses) {
     const char* name = endless.start.c_str();
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -9,6 +9,7 @@
 #include "connection/http/server_connection.h"
 #include "version/key_map.h"
 
+#include <functional>
 #include <set>
 
 namespace bamboograde::tests {
@@ -27,6 +28,22 @@
   bool directGrants = false;
 };
 
+// What an upstream writes in place of a response.
+struct raw_reply
+{
+  std::string bytes;
+  enum class ending
+  {
+    kKeepOpen,
+    kClose,
+    kReset,
+  };
+  ending end = ending::kKeepOpen;
+};
+
+// aId: id of the request; aNumber: counts the requests on its connection from 1.
+using raw_responder = std::function<raw_reply(const std::string& aId, unsigned aNumber)>;
+
 // Observations of all upstreams of a test.
 struct fleet_record
 {
@@ -63,8 +80,10 @@
   void DeliverLateAnnouncement();
   // Whether requests for the health path get a response.
   void SetHealthAnswered(bool aAnswered) { mHealthAnswered = aAnswered; }
-  // Answers requests on new connections with aStart and then aBlock without end, until the caller
-  // closes the connection.
+  // Answers requests on new connections with the bytes that aResponder returns.
+  void RespondRaw(raw_responder aResponder) { mRawResponder = std::move(aResponder); }
+  // Answers requests on new connections with aStart, in which "$ID" stands for the request's id,
+  // and then aBlock without end, until the caller closes the connection.
   void SendEndlessly(std::string aStart, std::string aBlock);
   unsigned EndlessResponses() const { return mEndlessResponses; }
   // Runs the next requests, but closes their connections without a response.
@@ -136,6 +155,7 @@
   uint64_t mSequence = 0;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
+  raw_responder mRawResponder;
   std::string mEndlessStart;
   std::string mEndlessBlock;
   unsigned mEndlessResponses = 0;
