Send no request that is not idempotent to an upstream that has refused it

The upstream refuses a keyed request, gets it again from the same entry, runs it and writes the first refusal once more: the caller was told 'not run' (503). Cause: a keyed request can go to its owner only, so its retry after a refusal went to the same upstream under the same id, where a late copy of the refusal can not be told from the response. Change: such a request is rejected at once, with Retry-After; the caller's next attempt has another id. Idempotent requests are retried as before. Test: faulty_upstream: a_repeated_refusal_of_the_same_request_is_not_believed failed for a local and a forwarded request: 'told not run, but ran'.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -370,9 +370,14 @@
   mRetryAfter =
     mRetryAfter.count() == 0 ? aRefusal.retryAfter : std::min(mRetryAfter, aRefusal.retryAfter);
   common::boot_time now = mContext.process.Now();
-  if (aRefusal.reason == request::attempt_refusal_reason::kUpstreamRefused && !TryTakeRetry()) {
-    Reject("upstream_refused", kMinRetryAfter);
-    return;
+  if (aRefusal.reason == request::attempt_refusal_reason::kUpstreamRefused) {
+    // Sent to the same upstream again, the request could run while a late copy of this refusal is
+    // taken for its response.
+    bool mayRunUnnoticed = mFacts.key.has_value() && !mFacts.idempotent;
+    if (mayRunUnnoticed || !TryTakeRetry()) {
+      Reject("upstream_refused", kMinRetryAfter);
+      return;
+    }
   }
   bool searches = !mFacts.key.has_value() && mBody.Whole();
   bool overloadedOwner =
--- a/tests/platform/faulty_upstream_test.cpp
+++ b/tests/platform/faulty_upstream_test.cpp
@@ -37,7 +37,7 @@
   return Message(aStatus, kNotRun + aIdLine, "");
 }
 
-// VM 0 has the keyed upstream, VM 1 the plain one; VM 2 has another plain one that does not run.
+// VM 0 has the keyed upstream, VM 1 the plain one.
 struct faulty_fleet : public fleet_fixture
 {
   faulty_fleet()
@@ -88,6 +88,26 @@
   }
 }
 
+// The upstream refuses a request, runs it when it comes again and repeats the refusal first. Its
+// caller must not be told that it did not run.
+Test(faulty_upstream, a_repeated_refusal_of_the_same_request_is_not_believed)
+{
+  for (size_t entry : { size_t(0), size_t(1) }) {
+    faulty_fleet fleet;
+    std::map<std::string, unsigned> sent;
+    fleet.vms[0]->upstream->RespondRaw([&](const std::string& aId, unsigned) {
+      if (++sent[aId] == 1) {
+        return raw_reply{ Refusal(IdLine(aId)) };
+      }
+      ++fleet.record.runs[aId];
+      return raw_reply{ Refusal(IdLine(aId)) + Answer(aId) };
+    });
+    auto response = fleet.SendRequest(entry, "POST", "/order/x", "100", "body");
+    cr_expect(response.status != 503 || fleet.record.runs[fleet.LastRequestId()] == 0,
+              "entry %zu: told not run, but ran", entry);
+  }
+}
+
 // A response that ends early, at any byte, by FIN or by RST, never looks complete.
 Test(faulty_upstream, a_truncated_response_is_never_complete_for_the_caller)
 {
