Make each call about keys on a connection of its own

What callers saw: nothing that was observed. Change: the last connection stays open until the next call, because its end shows that the upstream has ended, and is not used again.

--- a/src/process/sidecar/direct_grants.cpp
+++ b/src/process/sidecar/direct_grants.cpp
@@ -58,6 +58,10 @@
     mId = common::request_id(common::MakeUniqueId());
     mOwner.mRuntime.headers.WriteAnswered(mId, &call.head.headers);
     mTimer.Arm(mCall.deadline);
+    // Responses do not name their call, so a late copy of a response could be taken for the one to
+    // the next call on its connection. The last connection stays open until then, because its end
+    // shows that the upstream has ended.
+    mOwner.mPool.CloseIdleConnections(mOwner.mGate.Address());
     mClientCall =
       mOwner.mPool.Send(mOwner.mGate.Address(), call.head, call.body, true, mCall.deadline, this);
     mClientCall->SendBy(mCall.deadline);
@@ -71,7 +75,6 @@
   }
   void OnCallHead(connection::http::response_head& aHead) override
   {
-    mStatus = aHead.status;
     mAnswer = ReadAnswer(mOwner.mCodec, mCall.purpose, aHead);
   }
   void OnCallBody(std::string_view aBytes) override
@@ -115,7 +118,6 @@
   connection::http::client_call_ptr mClientCall;
   common::request_id mId;
   key_call_answer mAnswer;
-  int mStatus = 0;
   size_t mBodyBytes = 0;
 };
 
