End only the connection whose callback throws

What callers saw: nothing that was observed; reported by operators of similar systems: one malformed message or unexpected error took a whole process down. Cause: an exception in a handler, timer or deferred callback left the event loop through GLib and ended the process, with all requests in flight. Change: the loop catches it, logs it (one line a second at most), counts it (bamboograde_exceptions) and resets the connection whose event was handled. Test: server_connection: an_exception_ends_only_the_connection_whose_request_caused_it failed with the try block removed ('unexpected exception').

--- a/src/connection/http/event_loop.cpp
+++ b/src/connection/http/event_loop.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <exception>
 #include <poll.h>
+#include <spdlog/spdlog.h>
 #include <unistd.h>
 
 namespace bamboograde::connection::http {
@@ -11,6 +13,8 @@
 
 // Token of GLib's wake-up descriptor. Watch() never returns it.
 constexpr uint64_t kWakeUpToken = UINT64_MAX;
+// Minimum time between two log lines about exceptions.
+constexpr common::milliseconds kExceptionLogInterval{ 1000 };
 
 // GLib's poll function takes no user data, so the loop of each thread is found here.
 thread_local event_loop* tCurrent = nullptr;
@@ -202,10 +206,16 @@
     if (event.data.u64 == kWakeUpToken) {
       continue;
     }
-    const watch_slot& entry = mSlots[uint32_t(event.data.u64)];
-    bool generationMatches = entry.generation == uint32_t(event.data.u64 >> 32);
-    if (generationMatches && entry.handler != nullptr) {
-      entry.handler->OnReady(event.events);
+    auto slot = uint32_t(event.data.u64);
+    auto generation = uint32_t(event.data.u64 >> 32);
+    io_handler* handler = mSlots[slot].handler;
+    if (mSlots[slot].generation != generation || handler == nullptr) {
+      continue;
+    }
+    bool succeeded = RunGuarded([&] { handler->OnReady(event.events); });
+    // The handler may have ended before the exception.
+    if (!succeeded && mSlots[slot].generation == generation) {
+      RunGuarded([&] { handler->OnException(); });
     }
   }
   mEventCount = 0;
@@ -213,6 +223,29 @@
   RunDeferred();
 }
 
+template<typename callback>
+bool event_loop::RunGuarded(const callback& aCallback)
+{
+  try {
+    aCallback();
+    return true;
+  } catch (const std::exception& exception) {
+    OnException(exception.what());
+  } catch (...) {
+    OnException("unknown exception");
+  }
+  return false;
+}
+
+void event_loop::OnException(const char* aReason)
+{
+  ++mExceptions;
+  if (Now() >= mExceptionLoggedAt + kExceptionLogInterval) {
+    mExceptionLoggedAt = Now();
+    spdlog::error("an exception has ended a callback ({} so far): {}", mExceptions, aReason);
+  }
+}
+
 void event_loop::RunTimers()
 {
   common::boot_time now = Now();
@@ -221,7 +254,7 @@
     timer.Cancel();
     // Copied because the callback may destroy the timer that owns it.
     auto callback = timer.mCallback;
-    callback();
+    RunGuarded(callback);
   }
 }
 
@@ -231,7 +264,7 @@
     std::vector<std::function<void()>> batch;
     batch.swap(mDeferred);
     for (auto& callback : batch) {
-      callback();
+      RunGuarded(callback);
     }
   }
 }
--- a/src/connection/http/event_loop.h
+++ b/src/connection/http/event_loop.h
@@ -2,6 +2,9 @@
 //
 // All sockets share one epoll descriptor, which is a single GSource of the main loop. An iteration
 // therefore makes one system call to wait, regardless of the number of open sockets.
+//
+// An exception that leaves a callback is logged and counted, and ends only what the callback
+// serves.
 #pragma once
 
 #include "common/clock.h"
@@ -24,6 +27,8 @@
 public:
   virtual ~io_handler() = default;
   virtual void OnReady(uint32_t aEvents) = 0;
+  // An exception has left OnReady(). The handler must end what it serves.
+  virtual void OnException() {}
 };
 
 // One-shot timer. The destructor cancels it.
@@ -72,6 +77,8 @@
   void Defer(std::function<void()> aCallback);
 
   common::boot_time Now() const { return common::boot_clock::now(); }
+  // Number of callbacks that were left by an exception.
+  uint64_t Exceptions() const { return mExceptions; }
   void Run();
   void Quit();
 
@@ -97,6 +104,10 @@
   void Dispatch();
   void RunTimers();
   void RunDeferred();
+  // Returns false if an exception has left the callback.
+  template<typename callback>
+  bool RunGuarded(const callback& aCallback);
+  void OnException(const char* aReason);
   gint TimeoutMs() const;
 
   GMainContext* mContext;
@@ -110,6 +121,8 @@
   std::vector<uint32_t> mFreeSlots;
   boost::intrusive::multiset<loop_timer> mTimers;
   std::vector<std::function<void()>> mDeferred;
+  uint64_t mExceptions = 0;
+  common::boot_time mExceptionLoggedAt;
 };
 
 } // namespace bamboograde::connection::http
--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -246,6 +246,16 @@
   }
 }
 
+void tcp_stream::OnException()
+{
+  tcp_stream_ptr self(this);
+  stream_owner* owner = mOwner;
+  Reset();
+  if (owner != nullptr) {
+    owner->OnEnd(stream_end::kError);
+  }
+}
+
 void tcp_stream::End(stream_end aEnd)
 {
   if (mEnded || mOwner == nullptr) {
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -77,6 +77,7 @@
 private:
   tcp_stream(event_loop& aLoop, stream_owner& aOwner, int aFd, bool aConnected);
   void OnReady(uint32_t aEvents) override;
+  void OnException() override;
   void CheckConnectResult();
   void Read();
   void Flush();
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -269,6 +269,7 @@
   mCounters.AddGauge("bamboograde_config_version", [this] {
     return mFleet.Config() == nullptr ? 0 : double(mFleet.Config()->Version().Value());
   });
+  mCounters.AddGauge("bamboograde_exceptions", [this] { return double(mLoop.Exceptions()); });
   mCounters.AddGauge("bamboograde_connects", [this] { return double(mRuntime.pool.Connects()); });
 }
 
--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -1,5 +1,7 @@
 #include "connection/http/http_fixture.h"
 
+#include <stdexcept>
+
 using namespace bamboograde;
 using namespace bamboograde::connection::http;
 using tests::http_fixture;
@@ -217,3 +219,38 @@
   cr_assert(handler.exchanges[0]->BodyComplete());
   close(fd);
 }
+
+// An exception in the handler of one request once ended the process.
+Test(server_connection, an_exception_ends_only_the_connection_whose_request_caused_it)
+{
+  class throwing_handler : public recording_handler
+  {
+  public:
+    void OnRequest(const server_exchange_ptr& aExchange) override
+    {
+      recording_handler::OnRequest(aExchange);
+      if (aExchange->Head().target == "/throw") {
+        throw std::runtime_error("unexpected");
+      }
+    }
+  };
+  http_fixture fixture;
+  throwing_handler handler;
+  int faulty = fixture.Serve(handler);
+  int sound = fixture.Serve(handler);
+  http_fixture::Send(sound, kGet);
+  fixture.RunFor(kLoopTime);
+  loop_timer timer(fixture.Loop(), [] { throw std::runtime_error("in a timer"); });
+  timer.Arm(fixture.Loop().Now());
+  fixture.Loop().Defer([] { throw 1; });
+  http_fixture::Send(faulty, "GET /throw HTTP/1.1\r\nHost: h\r\n\r\n");
+  fixture.RunFor(kLoopTime);
+  bool ended = false;
+  cr_assert(http_fixture::Receive(faulty, &ended).empty());
+  cr_assert(ended || errno == ECONNRESET);
+  cr_assert_eq(handler.disconnects, 1);
+  handler.RespondTo(0, 200, "still served");
+  fixture.RunFor(kLoopTime);
+  cr_assert(http_fixture::Receive(sound).find("still served") != std::string::npos);
+  cr_assert_eq(fixture.Loop().Exceptions(), 3U);
+}
