Reset no established connection when a stopping daemon stops listening

What callers saw: nothing that was observed; reported by operators of similar systems: requests that had just been accepted were cut off during a planned stop. Cause: a listener was closed with connections in its accept queue, which the kernel resets. A second fault in the same function: without a free descriptor accept fails, the connection stays in the queue and the level-triggered event kept the loop busy, with a log line for each turn. Change: CloseAfterAccepting(); and a pause of 50 ms after such a failure. Test: tcp_listener: accepts_established_connections_before_it_closes and pauses_while_there_are_no_descriptors (299,983 us of processor time in 300 ms) failed without the changes.

--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -20,6 +20,8 @@
 // turn.
 constexpr size_t kMaxReadBytes = tcp_stream::kHighWaterMarkBytes;
 constexpr int kListenBacklog = 1024;
+// Pause after an accept failed for lack of descriptors or memory.
+constexpr common::milliseconds kAcceptPause{ 50 };
 // The kernel closes a connection whose output stays unacknowledged this long, since the peer's host
 // is down or unreachable.
 constexpr int kUserTimeoutMs = 3000;
@@ -291,6 +293,7 @@
 tcp_listener::tcp_listener(event_loop& aLoop, accept_callback aCallback)
   : mLoop(aLoop)
   , mCallback(std::move(aCallback))
+  , mResumeTimer(aLoop, [this] { Resume(); })
 {
 }
 
@@ -334,19 +337,36 @@
   if (mFd < 0) {
     return;
   }
+  mResumeTimer.Cancel();
   mLoop.Unwatch(mFd, mToken);
   close(mFd);
   mFd = -1;
 }
 
+void tcp_listener::CloseAfterAccepting()
+{
+  if (mFd >= 0) {
+    OnReady(EPOLLIN);
+    Close();
+  }
+}
+
+void tcp_listener::Resume()
+{
+  mLoop.ModifyWatch(mFd, EPOLLIN, mToken);
+}
+
 void tcp_listener::OnReady(uint32_t)
 {
   while (mFd >= 0) {
     int fd = accept4(mFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
-      bool nothingToAccept = errno == EAGAIN || errno == EINTR;
+      bool nothingToAccept = errno == EAGAIN || errno == EINTR || errno == ECONNABORTED;
       if (!nothingToAccept) {
         spdlog::warn("accept failed: {}", std::strerror(errno));
+        // The connection stays in the queue, so the descriptor would be ready at once again.
+        mLoop.ModifyWatch(mFd, 0, mToken);
+        mResumeTimer.Arm(mLoop.Now() + kAcceptPause);
       }
       return;
     }
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -118,15 +118,21 @@
   common::result<void> Listen(const common::endpoint& aEndpoint);
   // The bound port. When the endpoint had port 0, this is the one chosen by the kernel.
   uint16_t Port() const;
+  // Connections that were not accepted are reset.
   void Close();
+  // Accepts the connections that are established already, and closes.
+  void CloseAfterAccepting();
 
 private:
   void OnReady(uint32_t aEvents) override;
+  void Resume();
 
   event_loop& mLoop;
   accept_callback mCallback;
   int mFd = -1;
   uint64_t mToken = 0;
+  // Runs while no connection can be accepted for lack of descriptors or memory.
+  loop_timer mResumeTimer;
 };
 
 } // namespace bamboograde::connection::http
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -388,7 +388,7 @@
     now >= mStopAt + kExitMargin - mSettings.bounds.grace + kReadinessNoticeTime;
   if (readinessNoticed) {
     // Refusing late callers is better than closing their connections during a request.
-    mListeners.front()->Close();
+    mListeners.front()->CloseAfterAccepting();
     mClosing = true;
   }
   bool idle = now >= mIdleSince + kFlushPeriod;
