--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -71,15 +71,18 @@
     }
   }
   void OnCallEnd() override { done = true; }
-  void OnCallFailed(const connection::http::call_error&) override
+  void OnCallFailed(const connection::http::call_error& aError) override
   {
     response.status = 0;
+    sent = aError.failure != connection::http::call_failure::kNotSent;
     done = true;
   }
 
   connection::http::client_call_ptr call;
   fleet_response response;
   bool done = false;
+  // Whether any byte of a request without a response was sent.
+  bool sent = true;
 
 private:
   static constexpr size_t kMaxKeptBytes = size_t(16) << 20;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -251,6 +251,40 @@
                  "the daemon exits");
 }
 
+// Callers go on sending until the process has ended, on kept and on new connections.
+Test(fleet, a_stopping_daemon_answers_every_request_that_reaches_it)
+{
+  constexpr size_t kStopping = 3;
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  std::vector<std::unique_ptr<tests::pending_request>> requests;
+  auto send = [&] {
+    bool keyed = requests.size() % 2 == 0;
+    requests.push_back(fleet.StartRequest(kStopping, keyed ? "GET" : "POST",
+                                          keyed ? "/keyed/x" : "/book/x",
+                                          keyed ? std::to_string(requests.size() * 97 % 65536) : "",
+                                          keyed ? "" : "body " + std::to_string(requests.size())));
+    fleet.RunFor(common::milliseconds(2));
+  };
+  for (int i = 0; i < 100; ++i) {
+    send();
+  }
+  fleet.vms[kStopping]->StopDaemon();
+  while (!fleet.vms[kStopping]->DaemonEnded()) {
+    send();
+  }
+  fleet.RunFor(common::milliseconds(100));
+  size_t served = 0;
+  for (size_t i = 0; i < requests.size(); ++i) {
+    const tests::pending_request& request = *requests[i];
+    cr_expect(request.done, "request %zu of %zu", i, requests.size());
+    cr_expect(request.response.status != 0 || !request.sent,
+              "request %zu of %zu was cut off without an answer", i, requests.size());
+    served += request.response.status == 200 ? 1 : 0;
+  }
+  cr_assert_gt(served, 500U);
+}
+
 // A stopping daemon once took a slow peer for unreachable, gave up a request that was running there
 // and responded with 502.
 Test(fleet, a_stopping_daemon_waits_for_a_request_at_an_unresponsive_peer)
@@ -272,6 +306,45 @@
   cr_assert_eq(fleet.record.runs[fleet.LastRequestId()], 1U);
 }
 
+// A VM that is silent or slow to report for a while keeps its running work, which is neither
+// started elsewhere nor given up. Its keys may move meanwhile.
+Test(fleet, a_silent_vm_keeps_its_running_requests)
+{
+  constexpr common::milliseconds kSilence{ 900 };
+  struct silence_case
+  {
+    const char* method;
+    const char* path;
+    const char* key;
+    bool daemonSilent;
+  };
+  const silence_case kCases[] = {
+    { "POST", "/book/x", "", true },     { "POST", "/book/x", "", false },
+    { "POST", "/order/x", "100", true }, { "POST", "/order/x", "100", false },
+    { "GET", "/keyed/x", "100", true },  { "GET", "/keyed/x", "100", false },
+  };
+  for (const silence_case& item : kCases) {
+    fleet_fixture fleet({ "keyed", "plain", "keyed" });
+    WaitForKeys(fleet);
+    size_t holder = HolderOf(fleet, 100);
+    size_t silent = item.key[0] == 0 ? 1 : holder;
+    tests::fleet_vm& vm = *fleet.vms[silent];
+    vm.upstream->SetWork(common::milliseconds(600));
+    auto pending =
+      fleet.StartRequest(holder == 0 ? 2 : 0, item.method, item.path, item.key, "body");
+    fleet.RunUntil([&] { return fleet.record.runs[fleet.LastRequestId()] == 1; },
+                   common::milliseconds(500), "the request runs");
+    item.daemonSilent ? vm.PauseDaemon() : vm.upstream->StopAnnouncing();
+    fleet.RunFor(kSilence);
+    item.daemonSilent ? vm.ResumeDaemon() : vm.upstream->ResumeAnnouncing();
+    fleet.RunUntil([&pending] { return pending->done; }, common::milliseconds(1500), item.path);
+    cr_expect_eq(pending->response.status, 200, "%s, silent daemon %d: status %d", item.path,
+                 int(item.daemonSilent), pending->response.status);
+    cr_expect_eq(fleet.record.runs[fleet.LastRequestId()], 1U, "%s, silent daemon %d", item.path,
+                 int(item.daemonSilent));
+  }
+}
+
 Test(fleet, a_commit_with_a_lost_response_leaves_one_owner)
 {
   fleet_fixture fleet(kServices);
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -72,6 +72,7 @@
   void Leave() { mLeaving = true; }
   // Goes on serving without announcing itself.
   void StopAnnouncing() { mTimer.Cancel(); }
+  void ResumeAnnouncing() { Announce(); }
   // Deregisters without announcing the shutdown, and goes on serving without announcing itself.
   void Deregister();
   // Whether the last deregistration was acknowledged.
