--- a/src/process/sidecar/grant_channel.h
+++ b/src/process/sidecar/grant_channel.h
@@ -8,6 +8,11 @@
 
 namespace bamboograde::process::sidecar {
 
+// Maximum relative drift between the upstream's clock and this daemon's.
+constexpr double kMaxClockDrift = 0.02;
+// Shorter grants are withheld.
+constexpr common::milliseconds kMinHoldTime{ 100 };
+
 // What the owner of the keys offers to a channel.
 class key_grantor
 {
--- a/src/process/sidecar/grant_schedule.cpp
+++ b/src/process/sidecar/grant_schedule.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Maximum relative drift between the upstream's clock and this daemon's.
-constexpr double kMaxClockDrift = 0.02;
-// Shorter grants are withheld.
-constexpr common::milliseconds kMinHoldTime{ 100 };
 constexpr common::milliseconds kGrantTimeout{ 300 };
 // A release without a response by then is called again on another connection.
 constexpr common::milliseconds kReleaseTimeout{ 1000 };
@@ -128,7 +124,6 @@
   return !mDisconnected && aNow < mHeardAt + Scaled(mHoldTime, kMaxSilence);
 }
 
-// Whether a pending call concerns one of the keys. A grant does not wait for other grants.
 bool grant_schedule::IsBusy(const version::key_range& aRange, grant_call::kind aPurpose) const
 {
   return std::any_of(mPending.begin(), mPending.end(), [&](const auto& aItem) {
--- a/src/process/sidecar/grant_schedule.h
+++ b/src/process/sidecar/grant_schedule.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "common/clock.h"
-#include "process/sidecar/upstream_codec.h"
+#include "process/sidecar/grant_channel.h"
 
 #include <map>
 #include <optional>
@@ -111,6 +111,8 @@
   void SetTargets(const std::vector<version::held_range>& aRanges);
   target MakeTarget(const version::held_range& aRange) const;
   void DropExpired(common::boot_time aNow);
+  // Whether a pending call conflicts with one of this kind for the range: a release with any call
+  // for one of its keys, a grant with a release or with a grant of the same range.
   bool IsBusy(const version::key_range& aRange, grant_call::kind aPurpose) const;
   bool MayGrant(common::boot_time aNow) const;
   void AddGrants(common::boot_time aLeaseEnd, common::boot_time aNow,
--- a/src/process/sidecar/response_grants.cpp
+++ b/src/process/sidecar/response_grants.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Maximum relative drift between the upstream's clock and this daemon's.
-constexpr double kMaxClockDrift = 0.02;
-// Shorter grants are withheld.
-constexpr common::milliseconds kMinHoldTime{ 100 };
 // Delay between a grant and its use by the gate: the grant must reach the upstream before the first
 // request for a newly granted key.
 constexpr common::milliseconds kGateUpdateDelay{ 3 };
--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -257,45 +257,55 @@
   cr_assert_eq(fixture.Loop().Exceptions(), 3U);
 }
 
-// A stopping daemon must not reset connections that callers have established already.
-Test(tcp_listener, accepts_established_connections_before_it_closes)
+namespace {
+
+// A listener, and a caller's socket that is not connected yet.
+struct listener_fixture
 {
-  http_fixture fixture;
+  listener_fixture() { cr_assert(listener.Listen(common::endpoint("127.0.0.1:0")).has_value()); }
+  void Connect() const
+  {
+    auto address = ParseEndpoint(common::endpoint("127.0.0.1:" + std::to_string(listener.Port())));
+    cr_assert_eq(connect(caller, reinterpret_cast<sockaddr*>(&*address), sizeof(*address)), 0);
+  }
+
+  http_fixture base;
   std::vector<int> accepted;
-  tcp_listener listener(fixture.Loop(), [&accepted](int aFd) { accepted.push_back(aFd); });
-  cr_assert(listener.Listen(common::endpoint("127.0.0.1:0")).has_value());
-  auto address = ParseEndpoint(common::endpoint("127.0.0.1:" + std::to_string(listener.Port())));
+  tcp_listener listener{ base.Loop(), [this](int aFd) { accepted.push_back(aFd); } };
   int caller = socket(AF_INET, SOCK_STREAM, 0);
-  cr_assert_eq(connect(caller, reinterpret_cast<sockaddr*>(&*address), sizeof(*address)), 0);
-  listener.CloseAfterAccepting();
-  cr_assert_eq(accepted.size(), 1U);
-  http_fixture::Send(caller, kGet);
-  cr_assert(!http_fixture::Receive(accepted[0]).empty());
+};
+
+} // namespace
+
+// A stopping daemon must not reset connections that callers have established already.
+Test(tcp_listener, accepts_established_connections_before_it_closes)
+{
+  listener_fixture test;
+  test.Connect();
+  test.listener.CloseAfterAccepting();
+  cr_assert_eq(test.accepted.size(), 1U);
+  http_fixture::Send(test.caller, kGet);
+  cr_assert(!http_fixture::Receive(test.accepted[0]).empty());
 }
 
 // Without a free descriptor, the listener once kept the loop busy.
 Test(tcp_listener, pauses_while_there_are_no_descriptors)
 {
-  http_fixture fixture;
-  std::vector<int> accepted;
-  tcp_listener listener(fixture.Loop(), [&accepted](int aFd) { accepted.push_back(aFd); });
-  cr_assert(listener.Listen(common::endpoint("127.0.0.1:0")).has_value());
-  auto address = ParseEndpoint(common::endpoint("127.0.0.1:" + std::to_string(listener.Port())));
-  int caller = socket(AF_INET, SOCK_STREAM, 0);
+  listener_fixture test;
   rlimit former{};
   getrlimit(RLIMIT_NOFILE, &former);
-  rlimit none{ rlim_t(caller) + 1, former.rlim_max };
+  rlimit none{ rlim_t(test.caller) + 1, former.rlim_max };
   cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
-  cr_assert_eq(connect(caller, reinterpret_cast<sockaddr*>(&*address), sizeof(*address)), 0);
+  test.Connect();
   timespec before{};
   timespec after{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &before);
-  fixture.RunFor(common::milliseconds(300));
+  test.base.RunFor(common::milliseconds(300));
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &after);
-  cr_assert(accepted.empty());
+  cr_assert(test.accepted.empty());
   auto usedUs = (after.tv_sec - before.tv_sec) * 1000000 + (after.tv_nsec - before.tv_nsec) / 1000;
   cr_assert_lt(usedUs, 100000, "used %ld us of processor time", long(usedUs));
   setrlimit(RLIMIT_NOFILE, &former);
-  fixture.RunFor(common::milliseconds(100));
-  cr_assert_eq(accepted.size(), 1U);
+  test.base.RunFor(common::milliseconds(100));
+  cr_assert_eq(test.accepted.size(), 1U);
 }
--- /dev/null
+++ b/tests/standins/fleet/raw_sender.h
@@ -0,0 +1,35 @@
+// Connections of a faulty upstream, which writes other bytes than one response to each request.
+#pragma once
+
+#include "connection/http/event_loop.h"
+
+#include <functional>
+#include <string>
+
+namespace bamboograde::tests {
+
+// What an upstream writes in place of a response.
+struct raw_reply
+{
+  std::string bytes;
+  enum class ending
+  {
+    kKeepOpen,
+    kClose,
+    kReset,
+  };
+  ending end = ending::kKeepOpen;
+};
+
+// aId: id of the request; aNumber: counts the requests on its connection from 1.
+using raw_responder = std::function<raw_reply(const std::string& aId, unsigned aNumber)>;
+
+// Serves one accepted connection, which answers each request with the bytes of the responder.
+void ServeRaw(connection::http::event_loop& aLoop, int aFd, raw_responder aResponder);
+
+// Serves one accepted connection. It sends aStart, in which "$ID" stands for the id of the first
+// request, and then aBlock without end, until the caller closes the connection.
+void ServeEndlessly(connection::http::event_loop& aLoop, int aFd, std::string aStart,
+                    std::string aBlock);
+
+} // namespace bamboograde::tests
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -7,9 +7,9 @@
 
 #include "connection/http/fetch.h"
 #include "connection/http/server_connection.h"
+#include "standins/fleet/raw_sender.h"
 #include "version/key_map.h"
 
-#include <functional>
 #include <set>
 
 namespace bamboograde::tests {
@@ -28,22 +28,6 @@
   bool directGrants = false;
 };
 
-// What an upstream writes in place of a response.
-struct raw_reply
-{
-  std::string bytes;
-  enum class ending
-  {
-    kKeepOpen,
-    kClose,
-    kReset,
-  };
-  ending end = ending::kKeepOpen;
-};
-
-// aId: id of the request; aNumber: counts the requests on its connection from 1.
-using raw_responder = std::function<raw_reply(const std::string& aId, unsigned aNumber)>;
-
 // Observations of all upstreams of a test.
 struct fleet_record
 {
