Correct the description of grants without a response

Cause: on the last reading, the comment said that such a grant is applied before its call has ended; it may be applied later, and only its hold time is bounded. Change: comment only.

--- a/src/process/sidecar/grant_schedule.h
+++ b/src/process/sidecar/grant_schedule.h
@@ -2,9 +2,9 @@
 // them. For upstreams that are granted keys by calls instead of in responses to announcements.
 //
 // The upstream measures a grant's hold time from the arrival of the call, which lies between its
-// sending and its response. A grant without a response may be applied at any time until the call
-// has ended, also after a later release; its keys count as held until the hold time after the end
-// of the call has passed. Does no I/O.
+// sending and its end. A grant without a response may be applied later than that, also after a
+// release, but its hold time still runs from the arrival. Its keys count as held until the hold
+// time after the end of the call has passed. Does no I/O.
 #pragma once
 
 #include "common/clock.h"
