Log where a configuration comes from and how old the feed's last response is

The configuration's part of gossip is now config_sync, with the same decisions; a peer is asked for the configuration by a call of its own. New: source and feed_age_ms in the line configuration, lines feed_response and configuration_not_fetched, the gauge bamboograde_config_feed_age_seconds.

--- a/src/connection/row_feed.h
+++ b/src/connection/row_feed.h
@@ -14,6 +14,8 @@
   virtual void OnRow(const platform_row& aRow) = 0;
   // Called when all rows that existed at the start of the feed have been reported.
   virtual void OnFeedSynchronized() {}
+  // Called after the rows of each successful response of the platform, also if it has none.
+  virtual void OnFeedResponse() {}
 };
 
 class row_feed
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -10,19 +10,16 @@
 
 constexpr common::milliseconds kPeriod{ 400 };
 constexpr common::milliseconds kTimeout{ 500 };
-// Long enough for a large configuration over a slow link.
+// Long enough for many key maps over a slow link.
 constexpr common::milliseconds kTransferTimeout{ 2000 };
-// The feed normally delivers a change within a few milliseconds of its commit. After
-// kFeedGracePeriod a newer configuration is fetched from the peer; if the feed has not delivered it
-// after kFeedLossTimeout either, the feed is considered interrupted.
-constexpr common::milliseconds kFeedGracePeriod{ 150 };
-constexpr common::milliseconds kFeedLossTimeout{ 1000 };
 
 } // namespace
 
-gossip::gossip(runtime& aRuntime, peer_messenger& aMessenger, request::suspect_list& aSuspects)
+gossip::gossip(runtime& aRuntime, peer_messenger& aMessenger, config_sync& aConfig,
+               request::suspect_list& aSuspects)
   : mRuntime(aRuntime)
   , mMessenger(aMessenger)
+  , mConfig(aConfig)
   , mSuspects(aSuspects)
   , mTimer(aRuntime.loop, [this] { Tick(); })
 {
@@ -41,8 +38,7 @@
   // Jitter, so that daemons that start together do not send together.
   mTimer.Arm(mRuntime.Now() + kPeriod / 2 +
              common::milliseconds(int64_t(mRuntime.random.Below(uint64_t(kPeriod.count())))));
-  FetchMissingConfig();
-  CheckFeed();
+  mConfig.Tick();
   if (auto peer = RandomPeer(); peer.has_value()) {
     Compare(*peer);
   }
@@ -61,12 +57,6 @@
   return seeds[size_t(mRuntime.random.Below(seeds.size()))];
 }
 
-uint64_t gossip::ConfigVersion() const
-{
-  const version::route_config_ptr& config = mRuntime.fleet.Config();
-  return config == nullptr ? 0 : config->Version().Value();
-}
-
 common::json gossip::Versions() const
 {
   common::json members = common::json::object();
@@ -118,7 +108,7 @@
   }
   common::json body = { { "from", mRuntime.settings.listen.control.Str() },
                         { "digest", Digest() },
-                        { "config", ConfigVersion() } };
+                        { "config", mConfig.Version() } };
   if (!mSuspects.Empty()) {
     body["suspects"] = mSuspects.Export();
   }
@@ -141,7 +131,7 @@
 {
   OnPeerState(aBody);
   common::json response = { { "from", mRuntime.settings.listen.control.Str() },
-                            { "config", ConfigVersion() } };
+                            { "config", mConfig.Version() } };
   if (!mSuspects.Empty()) {
     response["suspects"] = mSuspects.Export();
   }
@@ -166,11 +156,7 @@
 common::json gossip::OnExchange(const common::json& aBody)
 {
   Apply(common::GetObject(aBody, "news"));
-  common::json response = ChangesSince(common::GetObject(aBody, "versions"));
-  if (common::GetBool(aBody, "config_wanted") && mRuntime.fleet.Config() != nullptr) {
-    response["config"] = mRuntime.fleet.ConfigValue();
-  }
-  return response;
+  return ChangesSince(common::GetObject(aBody, "versions"));
 }
 
 void gossip::Apply(const common::json& aChanges)
@@ -183,71 +169,14 @@
       mRuntime.fleet.ApplyKeyMap(map);
     }
   }
-  if (aChanges.contains("config") && mRuntime.fleet.ApplyConfig(aChanges["config"])) {
-    mConfigFromPeerAt = mConfigFromPeerAt.value_or(mRuntime.Now());
-  }
 }
 
 // Reads the configuration version and the crash suspects in a peer's message.
 void gossip::OnPeerState(const common::json& aBody)
 {
   mSuspects.Import(common::GetArray(aBody, "suspects"), mRuntime.Now());
-  uint64_t peerVersion = common::GetNumber(aBody, "config");
-  common::endpoint from(common::GetString(aBody, "from"));
-  if (peerVersion <= ConfigVersion() || peerVersion <= mConfigLag.version || from.Empty()) {
-    return;
-  }
-  bool behindBefore = mConfigLag.version > ConfigVersion();
-  mConfigLag.version = peerVersion;
-  mConfigLag.source = from;
-  if (!behindBefore) {
-    mConfigLag.since = mRuntime.Now();
-  }
-  // A daemon without any configuration fetches it without a delay.
-  if (ConfigVersion() == 0) {
-    mConfigLag.since -= kFeedGracePeriod;
-    FetchMissingConfig();
-  }
-}
-
-void gossip::FetchMissingConfig()
-{
-  common::boot_time now = mRuntime.Now();
-  bool behind = mConfigLag.version > ConfigVersion();
-  if (!behind || mConfigLag.fetching || now < mConfigLag.since + kFeedGracePeriod) {
-    return;
-  }
-  mConfigLag.fetching = true;
-  mMessenger.Send(mConfigLag.source, kExchangePath,
-                  { { "versions", Versions() }, { "config_wanted", true } }, now + kTransferTimeout,
-                  [this](const common::result<common::json>& aResponse) {
-                    mConfigLag.fetching = false;
-                    if (aResponse.has_value()) {
-                      Apply(aResponse.assume_value());
-                    } else {
-                      // Lets the next peer with a newer configuration become the source.
-                      mConfigLag.version = ConfigVersion();
-                    }
-                  });
-}
-
-// Reports the feed as interrupted if it does not deliver a configuration that a peer already had.
-void gossip::CheckFeed()
-{
-  if (!mConfigFromPeerAt.has_value() || mRuntime.Now() < *mConfigFromPeerAt + kFeedLossTimeout) {
-    return;
-  }
-  bool seenInFeed = mConfigFromFeedAt >= *mConfigFromPeerAt;
-  mConfigFromPeerAt.reset();
-  if (seenInFeed) {
-    return;
-  }
-  mRuntime.log.Write(line_class::kState, "configuration_late", [this] {
-    return common::json{ { "version", ConfigVersion() } };
-  });
-  if (mOnFeedLag) {
-    mOnFeedLag();
-  }
+  mConfig.OnPeerVersion(common::GetNumber(aBody, "config"),
+                        common::endpoint(common::GetString(aBody, "from")));
 }
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/peer_messenger.h
+++ b/src/process/sidecar/peer_messenger.h
@@ -9,6 +9,7 @@
 // Paths of the control messages.
 constexpr char kComparePath[] = "/control/compare";
 constexpr char kExchangePath[] = "/control/exchange";
+constexpr char kConfigPath[] = "/control/configuration";
 constexpr char kRenewPath[] = "/control/lease/renew";
 constexpr char kRevokePath[] = "/control/lease/revoke";
 
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -106,6 +106,8 @@
       response = mSidecar.mGossip.OnCompare(body.assume_value());
     } else if (path == kExchangePath) {
       response = mSidecar.mGossip.OnExchange(body.assume_value());
+    } else if (path == kConfigPath) {
+      response = mSidecar.mConfig.OnRequest();
     } else if (path == kHandoffNoticePath) {
       response = mSidecar.mKeys.OnHandoffNotice();
     } else if (path == kRenewPath) {
@@ -141,25 +143,6 @@
   sidecar& mSidecar;
 };
 
-class sidecar::config_listener : public connection::row_feed_observer
-{
-public:
-  explicit config_listener(sidecar& aSidecar)
-    : mSidecar(aSidecar)
-  {
-  }
-  void OnRow(const connection::platform_row& aRow) override
-  {
-    if (aRow.name == "config" && !aRow.value.is_null()) {
-      mSidecar.mGossip.OnConfigFromFeed();
-      mSidecar.mFleet.ApplyConfig(aRow.value);
-    }
-  }
-
-private:
-  sidecar& mSidecar;
-};
-
 sidecar::sidecar(const sidecar_settings& aSettings, connection::http::event_loop& aLoop,
                  connection::http::client_pool& aPool, const version::config_decoder& aDecoder,
                  const sidecar_ports& aPorts)
@@ -177,7 +160,8 @@
   , mMessenger(mRuntime)
   , mFailureDetector(mRuntime, mMessenger, mPlacement)
   , mBroadcast(mRuntime, mMessenger)
-  , mGossip(mRuntime, mMessenger, mSuspects)
+  , mConfig(mRuntime, mMessenger, aPorts.configuration)
+  , mGossip(mRuntime, mMessenger, mConfig, mSuspects)
   , mPlatformSync(mRuntime, aPorts.store, mGossip, [this] { mBroadcast.BroadcastMember(mSelf); })
   , mEditor(mRuntime, aPorts.store, mBroadcast)
   , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mBoot)
@@ -188,7 +172,6 @@
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
   , mReadiness(std::make_unique<readiness_listener>(*this))
-  , mConfigs(std::make_unique<config_listener>(*this))
   , mTimer(aLoop, [this] { Tick(); })
 {
 }
@@ -210,8 +193,7 @@
     return listening;
   }
   // 3. Sources of the fleet state.
-  mPorts.configuration.Start(mConfigs.get());
-  mGossip.SetFeedLagObserver([this] { mPorts.configuration.Refresh(); });
+  mConfig.Start();
   mBroadcast.SetGapObserver([this](const common::endpoint& aPeer) { mGossip.Compare(aPeer); });
   PublishMember();
   mPlatformSync.Start(mSelf);
@@ -269,6 +251,8 @@
   mCounters.AddGauge("bamboograde_config_version", [this] {
     return mFleet.Config() == nullptr ? 0 : double(mFleet.Config()->Version().Value());
   });
+  mCounters.AddGauge("bamboograde_config_feed_age_seconds",
+                     [this] { return std::chrono::duration<double>(mConfig.FeedAge()).count(); });
   mCounters.AddGauge("bamboograde_exceptions", [this] { return double(mLoop.Exceptions()); });
   mCounters.AddGauge("bamboograde_connects", [this] { return double(mRuntime.pool.Connects()); });
 }
@@ -340,14 +324,6 @@
   mLoop.Defer([this] { RetryWaitingPlacements(); });
 }
 
-void sidecar::OnConfigChanged()
-{
-  mLog.Write(line_class::kState, "configuration", [this] {
-    return common::json{ { "version", mFleet.Config()->Version().Value() },
-                         { "routes", mFleet.Config()->RouteCount() } };
-  });
-}
-
 void sidecar::RetryWaitingPlacements()
 {
   std::vector<boost::intrusive_ptr<entry_request>> waiting;
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -45,11 +45,9 @@
   class forward_listener;
   class control_listener;
   class readiness_listener;
-  class config_listener;
 
   void OnMemberChanged(const version::member& aMember) override;
   void OnKeyMapChanged(const common::service_name& aService) override;
-  void OnConfigChanged() override;
   common::result<void> Listen();
   void AddGauges();
   void Tick();
@@ -75,6 +73,7 @@
   peer_messenger mMessenger;
   failure_detector mFailureDetector;
   change_broadcast mBroadcast;
+  config_sync mConfig;
   gossip mGossip;
   platform_fleet_sync mPlatformSync;
   key_map_editor mEditor;
@@ -90,7 +89,6 @@
   std::unique_ptr<forward_listener> mForwards;
   std::unique_ptr<control_listener> mControl;
   std::unique_ptr<readiness_listener> mReadiness;
-  std::unique_ptr<config_listener> mConfigs;
   std::vector<std::unique_ptr<connection::http::tcp_listener>> mListeners;
   connection::http::loop_timer mTimer;
   version::member mSelf;
