--- a/tests/standins/fleet/table_standin.cpp
+++ b/tests/standins/fleet/table_standin.cpp
@@ -53,7 +53,31 @@
   mRows[{ aTable, aKey }] = { Base64(common::Dump(aValue)), ++mVersion };
 }
 
+void table_standin::CloseFeeds()
+{
+  for (const waiting_feed& feed : mFeeds) {
+    feed.exchange->Abort();
+  }
+  mFeeds.clear();
+}
+
 void table_standin::OnRequest(const server_exchange_ptr& aExchange)
+{
+  ++mCalls;
+  if (mSilent) {
+    mUnanswered.push_back(aExchange);
+    return;
+  }
+  if (mDelay.count() == 0) {
+    Process(aExchange);
+    return;
+  }
+  mDelays.push_back(std::make_unique<connection::http::loop_timer>(
+    mLoop, [this, aExchange] { Process(aExchange); }));
+  mDelays.back()->Arm(mLoop.Now() + mDelay);
+}
+
+void table_standin::Process(const server_exchange_ptr& aExchange)
 {
   if (mDown) {
     RespondJson(aExchange, 503, common::json::object());
--- a/tests/standins/fleet/table_standin.h
+++ b/tests/standins/fleet/table_standin.h
@@ -22,13 +22,21 @@
   void Put(const std::string& aTable, const std::string& aKey, const common::json& aValue);
   // While down, every call gets status 503.
   void SetDown(bool aDown) { mDown = aDown; }
+  // While silent, calls are accepted and never get a response.
+  void SetSilent(bool aSilent) { mSilent = aSilent; }
+  // Every call is processed after this delay.
+  void SetDelay(common::milliseconds aDelay) { mDelay = aDelay; }
   // The next transactions are committed, but their connections are closed without a response.
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
   // Feeds that begin at earlier versions get status 410.
   void DropHistory() { mHistoryFrom = mVersion; }
   // Feeds that are waiting now never get a response; their connections stay open.
   void StallFeeds() { mStalledFeeds.swap(mFeeds); }
+  // Closes the connections of the feeds that are waiting now.
+  void CloseFeeds();
   size_t WaitingFeeds() const { return mFeeds.size(); }
+  // Number of calls since the start.
+  uint64_t Calls() const { return mCalls; }
 
   connection::http::caller_limits Limits() const override { return {}; }
   void OnRequest(const connection::http::server_exchange_ptr& aExchange) override;
@@ -47,6 +55,7 @@
     common::boot_time until;
   };
 
+  void Process(const connection::http::server_exchange_ptr& aExchange);
   void OnTransaction(const connection::http::server_exchange_ptr& aExchange);
   common::json Rows(const std::string& aTable, uint64_t aAfter, const std::string& aFrom) const;
   void RespondToFeeds();
@@ -57,10 +66,16 @@
   uint64_t mVersion = 1;
   uint64_t mHistoryFrom = 0;
   bool mDown = false;
+  bool mSilent = false;
+  common::milliseconds mDelay{ 0 };
+  uint64_t mCalls = 0;
   unsigned mResponsesToDrop = 0;
   std::map<std::pair<std::string, std::string>, stored_row> mRows;
   std::deque<waiting_feed> mFeeds;
   std::deque<waiting_feed> mStalledFeeds;
+  // Exchanges without a response.
+  std::vector<connection::http::server_exchange_ptr> mUnanswered;
+  std::vector<std::unique_ptr<connection::http::loop_timer>> mDelays;
 };
 
 } // namespace bamboograde::tests
