Find a silent feed within the bound of the configuration

Callers were refused with 404 by the former version of the configuration, at daemons that had been in touch with the platform for seconds. A poll waited up to 30 s for its response; on a connection that went silent, or at a store that was down when the poll arrived, it never comes. When all feeds are silent no peer is ahead, so gossip does not notice. One peer was asked at a time, for up to 2 s, and the feed was asked again only a second after that.

A poll now ends after 1 s, longer in fleets beyond 64 daemons, so that the polls of all daemons have a constant rate. A response that is 500 ms late is followed by a call on a new connection, while the first call goes on, since the store may be slow. A daemon that learns of a newer version asks the feed at once, and another peer each 500 ms. Rows that are older than the history are read again with backoff.

--- a/src/connection/row_feed.h
+++ b/src/connection/row_feed.h
@@ -24,6 +24,9 @@
   virtual ~row_feed() = default;
   // Reports all rows and then every change until the process ends.
   virtual void Start(row_feed_observer* aObserver) = 0;
+  // Sets after which time without a change the platform shows that the feed still works. Shorter
+  // times find an interrupted feed earlier and cost more calls.
+  virtual void SetMaxWait(common::milliseconds aWait) = 0;
   // Requests changes at once instead of waiting. For use when another daemon has seen a newer row
   // than this feed has reported.
   virtual void Refresh() = 0;
--- a/src/process/sidecar/config_sync.cpp
+++ b/src/process/sidecar/config_sync.cpp
@@ -1,5 +1,7 @@
 #include "process/sidecar/config_sync.h"
 
+#include <algorithm>
+
 namespace bamboograde::process::sidecar {
 
 namespace {
@@ -9,10 +11,13 @@
 // Long enough for a large configuration over a slow link.
 constexpr common::milliseconds kTransferTimeout{ 2000 };
 // The feed normally delivers a change within a few milliseconds of its commit. After
-// kFeedGracePeriod a newer configuration is fetched from the peer; if the feed has not delivered it
-// after kFeedLossTimeout either, the feed is considered interrupted.
+// kFeedGracePeriod a newer configuration is fetched from the peer, and after each further
+// kFetchPeriod from another one.
 constexpr common::milliseconds kFeedGracePeriod{ 150 };
-constexpr common::milliseconds kFeedLossTimeout{ 1000 };
+constexpr common::milliseconds kFetchPeriod{ 500 };
+// Polls of all daemons together that end without a change in a second.
+constexpr int64_t kIdlePollsPerSecond = 64;
+constexpr common::milliseconds kMinPollWait{ 1000 };
 // A response of the feed after a longer time without one is logged.
 constexpr common::milliseconds kLongSilence{ 2000 };
 
@@ -45,7 +50,6 @@
 void config_sync::OnRow(const connection::platform_row& aRow)
 {
   if (aRow.name == kConfigRow && !aRow.value.is_null()) {
-    mFromFeedAt = mRuntime.Now();
     Apply(aRow.value, kFeedSource);
   }
 }
@@ -67,9 +71,6 @@
   if (!mRuntime.fleet.ApplyConfig(aValue)) {
     return;
   }
-  if (aSource != kFeedSource) {
-    mFromPeerAt = mFromPeerAt.value_or(mRuntime.Now());
-  }
   mRuntime.log.Write(line_class::kState, "configuration", [&] {
     return common::json{ { "version", Version() },
                          { "before", before },
@@ -81,18 +82,18 @@
 
 void config_sync::OnPeerVersion(uint64_t aVersion, const common::endpoint& aPeer)
 {
-  if (aVersion <= Version() || aVersion <= mLag.version || aPeer.Empty()) {
+  if (aVersion <= Version() || aPeer.Empty()) {
     return;
   }
-  bool behindBefore = mLag.version > Version();
-  mLag.version = aVersion;
-  mLag.source = aPeer;
-  if (!behindBefore) {
-    mLag.since = mRuntime.Now();
-  }
+  common::boot_time now = mRuntime.Now();
   // A daemon without any configuration fetches it without a delay.
-  if (Version() == 0) {
-    mLag.since -= kFeedGracePeriod;
+  bool hasNone = Version() == 0;
+  if (mLag.version <= Version()) {
+    mLag.fetchAt = hasNone ? now : now + kFeedGracePeriod;
+  }
+  mLag.version = std::max(mLag.version, aVersion);
+  mLag.source = aPeer;
+  if (hasNone && now >= mLag.fetchAt) {
     FetchMissing();
   }
 }
@@ -104,18 +105,28 @@
 
 void config_sync::Tick()
 {
-  FetchMissing();
-  CheckFeed();
+  auto members = int64_t(mRuntime.fleet.RunningMemberCount());
+  mFeed.SetMaxWait(
+    std::max(kMinPollWait, common::milliseconds(members * 1000 / kIdlePollsPerSecond)));
+  if (mRuntime.Now() >= mLag.fetchAt) {
+    FetchMissing();
+  }
 }
 
 void config_sync::FetchMissing()
 {
-  common::boot_time now = mRuntime.Now();
-  bool behind = mLag.version > Version();
-  if (!behind || mLag.fetching || now < mLag.since + kFeedGracePeriod) {
+  if (mLag.version <= Version()) {
     return;
   }
-  mLag.fetching = true;
+  common::boot_time now = mRuntime.Now();
+  mLag.fetchAt = now + kFetchPeriod;
+  mRuntime.log.Write(line_class::kState, "configuration_late", [&] {
+    return common::json{ { "version", Version() },
+                         { "newer", mLag.version },
+                         { "peer", mLag.source.Str() },
+                         { "feed_age_ms", FeedAge().count() } };
+  });
+  mFeed.Refresh();
   common::endpoint source = mLag.source;
   mMessenger.Send(source, kConfigPath, common::json::object(), now + kTransferTimeout,
                   [this, source, now](const common::result<common::json>& aResponse) {
@@ -127,35 +138,26 @@
                             const common::result<common::json>& aResponse,
                             common::boot_time aSentAt)
 {
-  mLag.fetching = false;
+  common::json config;
   if (aResponse.has_value()) {
-    Apply(common::GetObject(aResponse.assume_value(), "config"), aPeer.Str());
+    config = common::GetObject(aResponse.assume_value(), "config");
+  }
+  if (!config.empty()) {
+    Apply(config, aPeer.Str());
+  }
+  if (mLag.version <= Version()) {
     return;
   }
-  // Lets the next peer with a newer configuration become the source.
-  mLag.version = Version();
+  if (aPeer == mLag.source) {
+    // The peer is not asked again until it names a newer version again.
+    mLag.version = Version();
+  }
   mRuntime.log.Write(line_class::kState, "configuration_not_fetched", [&] {
     return common::json{ { "peer", aPeer.Str() },
-                         { "reason", aResponse.assume_error().message },
+                         { "reason", aResponse.has_value() ? "the peer lacks it"
+                                                           : aResponse.assume_error().message },
                          { "spent_ms", Since(aSentAt, mRuntime.Now()).count() } };
   });
 }
 
-// Reports the feed as interrupted if it does not deliver a configuration that a peer already had.
-void config_sync::CheckFeed()
-{
-  if (!mFromPeerAt.has_value() || mRuntime.Now() < *mFromPeerAt + kFeedLossTimeout) {
-    return;
-  }
-  bool seenInFeed = mFromFeedAt >= *mFromPeerAt;
-  mFromPeerAt.reset();
-  if (seenInFeed) {
-    return;
-  }
-  mRuntime.log.Write(line_class::kState, "configuration_late", [this] {
-    return common::json{ { "version", Version() } };
-  });
-  mFeed.Refresh();
-}
-
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/config_sync.h
+++ b/src/process/sidecar/config_sync.h
@@ -1,7 +1,11 @@
 // Keeps the operator's configuration current, from the platform's feed and from peers.
 //
 // The feed normally delivers a change within milliseconds. A version that a peer has first is
-// fetched from that peer, and a feed that does not deliver it soon is considered interrupted.
+// fetched from that peer, and the feed is asked for it again.
+//
+// A feed without changes looks like an interrupted one, so each daemon's poll ends after a time
+// that grows with the fleet: all daemons together poll at a constant rate, and the first one that
+// finds a change passes it on. In small fleets each daemon finds it by itself.
 #pragma once
 
 #include "connection/row_feed.h"
@@ -30,9 +34,9 @@
   struct config_lag
   {
     uint64_t version = 0;
+    // The last peer that had a newer version.
     common::endpoint source;
-    common::boot_time since;
-    bool fetching = false;
+    common::boot_time fetchAt;
   };
 
   void OnRow(const connection::platform_row& aRow) override;
@@ -40,16 +44,12 @@
   void FetchMissing();
   void OnFetched(const common::endpoint& aPeer, const common::result<common::json>& aResponse,
                  common::boot_time aSentAt);
-  void CheckFeed();
   void Apply(const common::json& aValue, const std::string& aSource);
 
   runtime& mRuntime;
   peer_messenger& mMessenger;
   connection::row_feed& mFeed;
   config_lag mLag;
-  common::boot_time mFromFeedAt;
-  // When a configuration came from a peer before the feed; reset after the feed was checked.
-  std::optional<common::boot_time> mFromPeerAt;
   common::boot_time mFeedResponseAt;
 };
 
--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -28,6 +28,46 @@
   }
 }
 
+// A feed of the operator's table, and what it has reported.
+class feed_fixture : private connection::row_feed_observer
+{
+public:
+  feed_fixture()
+  {
+    cr_assert(table.Listen(kTableAddress).has_value());
+    feed.SetMaxWait(common::milliseconds(1000));
+    Put(1);
+    feed.Start(this);
+  }
+  void Put(uint64_t aVersion)
+  {
+    table.Put(platform::kOperatorTable, platform::kConfigKey, { { "version", aVersion } });
+  }
+  void RunFor(common::milliseconds aTime)
+  {
+    connection::http::loop_timer timer(loop, [this] { loop.Quit(); });
+    timer.Arm(loop.Now() + aTime);
+    loop.Run();
+  }
+
+  connection::http::event_loop loop;
+  tests::table_standin table{ loop };
+  uint64_t reported = 0;
+
+private:
+  void OnRow(const connection::platform_row& aRow) override
+  {
+    reported = common::GetNumber(aRow.value, "version");
+  }
+
+  const common::endpoint kTableAddress{ "127.0.9.9:7998" };
+  connection::http::client_pool mPool{ loop };
+  platform::table_service mService{ loop, mPool, kTableAddress };
+
+public:
+  platform::table_feed feed{ mService, platform::kOperatorTable };
+};
+
 void ExpectNewRoute(fleet_fixture& aFleet)
 {
   for (size_t vm = 0; vm < aFleet.vms.size(); ++vm) {
@@ -59,3 +99,47 @@
   fleet.RunFor(kRecoveryTime);
   ExpectNewRoute(fleet);
 }
+
+// Whatever peers do, a daemon in a small fleet finds a silent feed by itself.
+Test(configuration, a_feed_without_a_response_reports_a_change_in_time)
+{
+  feed_fixture fixture;
+  fixture.RunFor(common::milliseconds(300));
+  cr_assert_eq(fixture.reported, 1U);
+  fixture.table.StallFeeds();
+  fixture.Put(2);
+  fixture.RunFor(kApplyTime);
+  cr_assert_eq(fixture.reported, 2U);
+}
+
+// Slow responses are used although another call has been sent meanwhile.
+Test(configuration, a_slow_platform_is_not_taken_for_a_silent_one)
+{
+  constexpr common::milliseconds kDelay{ 1500 };
+  feed_fixture fixture;
+  fixture.table.SetDelay(kDelay);
+  fixture.RunFor(2 * kDelay);
+  cr_assert_eq(fixture.reported, 1U);
+  uint64_t before = fixture.table.Calls();
+  for (uint64_t number = 2; number < 5; ++number) {
+    fixture.Put(number);
+    fixture.RunFor(2 * kDelay);
+    cr_assert_eq(fixture.reported, number);
+  }
+  // Nine seconds, and at most two calls in each.
+  cr_assert_leq(fixture.table.Calls() - before, 18U);
+}
+
+Test(configuration, rows_older_than_the_history_are_read_again_with_backoff)
+{
+  feed_fixture fixture;
+  fixture.RunFor(common::milliseconds(300));
+  fixture.table.DropAllHistory();
+  uint64_t before = fixture.table.Calls();
+  fixture.RunFor(common::milliseconds(3000));
+  cr_assert_leq(fixture.table.Calls() - before, 20U);
+  fixture.table.DropHistory();
+  fixture.Put(2);
+  fixture.RunFor(kApplyTime);
+  cr_assert_eq(fixture.reported, 2U);
+}
--- a/tests/standins/fleet/table_standin.h
+++ b/tests/standins/fleet/table_standin.h
@@ -30,6 +30,8 @@
   void DropResponses(unsigned aCount) { mResponsesToDrop = aCount; }
   // Feeds that begin at earlier versions get status 410.
   void DropHistory() { mHistoryFrom = mVersion; }
+  // Every feed gets status 410, also one that begins at the present version.
+  void DropAllHistory() { mHistoryFrom = UINT64_MAX; }
   // Feeds that are waiting now never get a response; their connections stay open.
   void StallFeeds() { mStalledFeeds.swap(mFeeds); }
   // Closes the connections of the feeds that are waiting now.
