--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -135,7 +135,13 @@
 void local_attempt::OnCallHead(connection::http::response_head& aHead)
 {
   request::attempt_ptr self(this);
-  switch (mRuntime.headers.ReadAnswer(aHead)) {
+  request::upstream_answer answer = mRuntime.headers.ReadAnswer(aHead);
+  if (answer == request::upstream_answer::kRan) {
+    if (auto notice = mRuntime.headers.ReadNotice(aHead.headers); notice.has_value()) {
+      mGate.OnNotice(this, *notice);
+    }
+  }
+  switch (answer) {
     case request::upstream_answer::kNotRun:
       mNotRun = true;
       mOutcome = upstream_outcome::kNotRun;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -245,6 +245,10 @@
   mCounters.AddGauge("bamboograde_upstream_running", [this] { return mGate.Load().running; });
   mCounters.AddGauge("bamboograde_upstream_waiting", [this] { return mGate.Load().waiting; });
   mCounters.AddGauge("bamboograde_upstream_slots", [this] { return mGate.Load().limit; });
+  mCounters.AddGauge("bamboograde_upstream_limit_per_second", [this] {
+    auto limit = mGate.NamedLimit();
+    return limit.has_value() ? limit->PerSecond() : 0;
+  });
   mCounters.AddGauge("bamboograde_log_lines_left_out",
                      [this] { return double(mLog.DroppedLines()); });
   mCounters.AddGauge("bamboograde_members", [this] { return double(mFleet.RunningMemberCount()); });
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -28,6 +28,8 @@
   MarkCrashSuspects();
   RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   mUpstream = aAnnouncement.id;
+  ++mIncarnation;
+  mNotice = {};
   mService = aAnnouncement.service;
   mReady = false;
   mAdmission.SetSlots(aAnnouncement.slots);
@@ -175,10 +177,41 @@
     return;
   }
   bool start = decision.verdict == request::admission_verdict::kStart;
-  mEntries[decision.id] = { aClient, aFacts, decision.id, start };
+  admission_entry& entry = mEntries[decision.id];
+  entry = { aClient, aFacts, decision.id };
   mIdsByClient[aClient] = decision.id;
   if (start) {
-    aClient->OnAdmitted();
+    NotifyAdmitted(entry);
+  }
+}
+
+void upstream_gate::NotifyAdmitted(admission_entry& aEntry)
+{
+  mRuntime.counters.Add("bamboograde_upstream_requests_total");
+  aEntry.admitted = true;
+  aEntry.incarnation = mIncarnation;
+  aEntry.client->OnAdmitted();
+}
+
+void upstream_gate::OnNotice(gate_client* aClient, const request::upstream_notice& aNotice)
+{
+  auto found = mIdsByClient.find(aClient);
+  if (found == mIdsByClient.end() || mEntries[found->second].incarnation != mIncarnation) {
+    return;
+  }
+  if (aNotice.unreadableLimit) {
+    mRuntime.counters.Add("bamboograde_unreadable_limits_total");
+  }
+  bool changed = aNotice.limit != mNotice.limit || aNotice.leaving != mNotice.leaving;
+  mNotice = aNotice;
+  if (changed) {
+    mRuntime.log.Write(line_class::kState, "upstream_notice", [&] {
+      common::json line = { { "upstream", mUpstream.Str() }, { "leaving", aNotice.leaving } };
+      if (aNotice.limit.has_value()) {
+        line["limit_per_s"] = aNotice.limit->PerSecond();
+      }
+      return line;
+    });
   }
 }
 
@@ -247,8 +280,7 @@
       Submit(facts, client);
       continue;
     }
-    next.admitted = true;
-    client->OnAdmitted();
+    NotifyAdmitted(next);
   }
 }
 
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -9,6 +9,7 @@
 #include "request/admission.h"
 #include "request/attempt.h"
 #include "request/suspect_list.h"
+#include "request/upstream_notice.h"
 #include "version/key_load.h"
 
 #include <algorithm>
@@ -70,6 +71,9 @@
   // Calls the client exactly once, immediately or later, unless it withdraws before.
   void Submit(const request::request_facts& aFacts, gate_client* aClient);
   void Withdraw(gate_client* aClient);
+  // A response of the upstream to an admitted client has arrived. A notice from before a new
+  // incarnation has no effect.
+  void OnNotice(gate_client* aClient, const request::upstream_notice& aNotice);
   // Frees the slot of an admitted client.
   void Finish(gate_client* aClient, upstream_outcome aOutcome);
 
@@ -78,6 +82,8 @@
   const common::service_name& Service() const { return mService; }
   const common::endpoint& Address() const { return mRuntime.settings.upstream; }
   request::load_report Load() const;
+  // The requests per second that the upstream has named in its last response.
+  std::optional<request::request_rate> NamedLimit() const { return mNotice.limit; }
   // Recent requests per key.
   version::key_load& KeyLoad() { return mKeyLoad; }
   // Running and waiting requests per slot, as a moving average.
@@ -94,6 +100,8 @@
     request::request_facts facts;
     request::admission_id id = 0;
     bool admitted = false;
+    // Incarnation of the upstream to which it was admitted.
+    uint64_t incarnation = 0;
   };
   // A request that waits until its key is granted here or moved to another owner.
   struct parked_request
@@ -119,6 +127,7 @@
   void Admit(const request::request_facts& aFacts, gate_client* aClient);
   void Refuse(gate_client* aClient, request::attempt_refusal_reason aReason,
               common::microseconds aRetryAfter = common::microseconds(0));
+  void NotifyAdmitted(admission_entry& aEntry);
   void StartNext();
   void RetryParked();
   void RefuseWaiting(request::attempt_refusal_reason aReason);
@@ -133,6 +142,10 @@
   request::admission mAdmission;
   version::upstream_id mUpstream;
   common::service_name mService;
+  // Counts the incarnations that were announced to this process.
+  uint64_t mIncarnation = 0;
+  // Of the last response of the current incarnation.
+  request::upstream_notice mNotice;
   bool mReady = false;
   // End of the drain time of the current incarnation.
   common::boot_time mDrainedAt = common::boot_time::max();
--- a/src/request/header_translator.h
+++ b/src/request/header_translator.h
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "common/ids.h"
 #include "connection/http/message.h"
+#include "request/upstream_notice.h"
 #include "version/member.h"
 
 #include <optional>
@@ -51,6 +52,9 @@
   virtual void WriteUpstream(const upstream_facts& aFacts,
                              connection::http::header_list* aHeaders) const = 0;
   virtual upstream_answer ReadAnswer(const connection::http::response_head& aHead) const = 0;
+  // Empty if the upstream itself did not produce the response.
+  virtual std::optional<upstream_notice> ReadNotice(
+    const connection::http::header_list& aHeaders) const = 0;
   // Id of the request that a response belongs to; empty when the response has none.
   virtual common::request_id AnsweredRequest(
     const connection::http::header_list& aHeaders) const = 0;
--- a/tests/process/sidecar/sidecar_fixture.cpp
+++ b/tests/process/sidecar/sidecar_fixture.cpp
@@ -26,6 +26,12 @@
   return request::upstream_answer::kRan;
 }
 
+std::optional<request::upstream_notice> no_headers::ReadNotice(
+  const connection::http::header_list&) const
+{
+  return {};
+}
+
 common::request_id no_headers::AnsweredRequest(
   const connection::http::header_list& /*aHeaders*/) const
 {
--- a/tests/process/sidecar/sidecar_fixture.h
+++ b/tests/process/sidecar/sidecar_fixture.h
@@ -18,6 +18,8 @@
   void WriteUpstream(const request::upstream_facts& aFacts,
                      connection::http::header_list* aHeaders) const override;
   request::upstream_answer ReadAnswer(const connection::http::response_head& aHead) const override;
+  std::optional<request::upstream_notice> ReadNotice(
+    const connection::http::header_list& aHeaders) const override;
   common::request_id AnsweredRequest(const connection::http::header_list& aHeaders) const override;
   void WriteAnswered(const common::request_id& aId,
                      connection::http::header_list* aHeaders) const override;
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -424,9 +424,18 @@
   });
 }
 
+void upstream_standin::SetHeader(const std::string& aName, const std::string& aValue)
+{
+  mExtraHeaders.erase(aName);
+  if (!aValue.empty()) {
+    mExtraHeaders[aName] = aValue;
+  }
+}
+
 void upstream_standin::Run(const server_exchange_ptr& aExchange, const std::string& aId,
                            const std::string& aKey)
 {
+  mArrivals.push_back(mLoop.Now());
   std::optional<uint32_t> key;
   if (!aKey.empty()) {
     key = uint32_t(std::stoul(aKey));
@@ -454,6 +463,9 @@
   mResponsesToFail -= mResponsesToFail > 0 ? 1 : 0;
   head.headers.Add("X-Bamboograde-Request-Id", aId);
   head.headers.Add("X-Bamboograde-Server-Stamp", mOptions.vm);
+  for (const auto& [name, value] : mExtraHeaders) {
+    head.headers.Add(name, value);
+  }
   aExchange->Respond(head, "answer to " + aId);
 }
 
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -78,6 +78,10 @@
   void PerformLate(unsigned aCount, common::milliseconds aDelay);
   void DropKeyAnswers(unsigned aCount) { mKeyAnswersToDrop = aCount; }
   void RejectKeyCalls(unsigned aCount, int aStatus);
+  // Adds a header to the responses from now on; an empty value removes it.
+  void SetHeader(const std::string& aName, const std::string& aValue);
+  // When each request arrived, in order.
+  const std::vector<common::boot_time>& Arrivals() const { return mArrivals; }
   // Sets how long requests run from now on.
   void SetWork(common::milliseconds aWork) { mOptions.work = aWork; }
   // Runs the next requests and responds with status 500.
@@ -140,6 +144,8 @@
   uint64_t mSequence = 0;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
+  std::map<std::string, std::string> mExtraHeaders;
+  std::vector<common::boot_time> mArrivals;
   raw_responder mRawResponder;
   std::string mEndlessStart;
   std::string mEndlessBlock;
