Keep to the limit and the leaving that an upstream names in its responses

An upstream in need got 53 to 80 requests in 4 s where its Server-Limit allowed 42 to 72: the gate admitted by slots only.

Every request to an upstream passes the gate on its VM, so one token bucket there limits all VMs together, beside the slots in admission; urgent requests go first, and who can not be served in time is rejected at once with the time of its turn. Placement sees the limit as fewer usable slots, and hot keys are handed off by the same measure. A daemon that passed a response on remembers what it said and names the limit with the requests that it forwards, so that a restart of the daemon beside the upstream forgets nothing. An upstream that says in a response that it leaves is treated like one that announced it, and stays closed at every daemon that passed that on. Only a genuine response to the request counts, and only of the present incarnation.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -179,7 +179,9 @@
     RejectWithLongestRetryAfter("owner_unreachable");
     return;
   }
-  if (!usable || stale) {
+  // The keys of an upstream that leaves are being handed off.
+  bool closed = usable && mContext.process.Now() >= mContext.notices.ClosesAt(*target);
+  if (!usable || stale || closed) {
     WaitForOwner();
     return;
   }
@@ -196,7 +198,7 @@
     bool here = vm == settings.vm;
     bool serves = here ? mContext.gate.Ready() && mContext.gate.Service() == mFacts.service
                        : member.Serves(mFacts.service);
-    if (serves) {
+    if (serves && !mContext.notices.IsLeaving(member)) {
       request::distance away = here                           ? request::distance::kSameVm
                                : member.zone == settings.zone ? request::distance::kSameZone
                                                               : request::distance::kOtherZone;
@@ -230,7 +232,9 @@
 void entry_request::StartAttempt(const version::member& aTarget)
 {
   boost::intrusive_ptr<entry_request> self(this);
-  mTarget = aTarget.vm;
+  mTarget = aTarget;
+  mFacts.namedLimit = mContext.notices.Limit(aTarget);
+  mFacts.namedBy = aTarget.Incarnation();
   if (aTarget.vm == mContext.process.settings.vm) {
     mAttempt = new local_attempt(mContext.process, mContext.gate, mExchange->Head(), mFacts, this);
   } else {
@@ -281,7 +285,7 @@
 
 void entry_request::RestartSearch(bool aMayWait)
 {
-  mSearch.OnRefused(mTarget);
+  mSearch.OnRefused(mTarget.vm);
   mSearch.Restart(aMayWait);
 }
 
@@ -317,6 +321,12 @@
 void entry_request::OnAttemptHead(connection::http::response_head& aHead)
 {
   mHoldsFailedResponse = false;
+  runtime& process = mContext.process;
+  if (auto notice = process.headers.ReadNotice(aHead.headers); notice.has_value()) {
+    mContext.notices.OnResponse(mTarget, *notice,
+                                process.Now() + process.settings.bounds.drain -
+                                  upstream_gate::kDrainMargin);
+  }
   if (mFacts.onlyIfFree) {
     mContext.placement.OnFreeSlotQuery(true);
   }
@@ -391,9 +401,9 @@
     return;
   }
   if (aRefusal.reason == request::attempt_refusal_reason::kBusy) {
-    mSearch.OnBusy(mTarget, aRefusal.retryAfter);
+    mSearch.OnBusy(mTarget.vm, aRefusal.retryAfter);
   } else {
-    mSearch.OnRefused(mTarget);
+    mSearch.OnRefused(mTarget.vm);
   }
   Place();
 }
@@ -541,7 +551,7 @@
                         { "config", mConfigVersion.Value() },
                         { "outcome", aOutcome },
                         { "reason", aReason },
-                        { "upstream_vm", mTarget },
+                        { "upstream_vm", mTarget.vm },
                         { "sent", mSent },
                         { "refusals", mRefusals },
                         { "spent_us", spent.count() } };
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -5,6 +5,7 @@
 #include "process/sidecar/local_attempt.h"
 #include "process/sidecar/request_body.h"
 #include "process/sidecar/response_relay.h"
+#include "process/sidecar/upstream_notices.h"
 #include "request/placement_search.h"
 #include "request/shared_retry_budget.h"
 
@@ -19,6 +20,7 @@
   upstream_gate& gate;
   request::placement& placement;
   failure_detector& failureDetector;
+  upstream_notices& notices;
   // Retry budgets by service.
   std::map<common::service_name, request::shared_retry_budget>& budgets;
   // Requests that wait until their key has a usable owner.
@@ -101,7 +103,8 @@
   // Attempts that were refused without running the request.
   unsigned mRefusals = 0;
   request::placement_search mSearch;
-  std::string mTarget;
+  // The member to which the request was last sent, as it was then.
+  version::member mTarget;
   std::string mLastRefusal;
   common::microseconds mRetryAfter{ 0 };
   bool mBodyTaken = false;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -167,7 +167,8 @@
   , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { PublishMember(); })
-  , mEntry{ mRuntime, mGate, mPlacement, mFailureDetector, mBudgets, mWaiting, mStopping, mClosing }
+  , mEntry{ mRuntime, mGate,    mPlacement, mFailureDetector, mNotices,
+            mBudgets, mWaiting, mStopping,  mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
@@ -301,6 +302,7 @@
   mSelf.sequence = std::max(unixMs, last + 1);
   mSelf.service = mRegistry.Current().service;
   mSelf.upstream = mRegistry.Current().id;
+  mSelf.startedMs = mRegistry.Current().startedMs;
   mSelf.state = mRegistry.State();
   mSelf.slots = mRegistry.Current().slots;
   mSelf.stopping = mStopping;
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -81,6 +81,7 @@
   key_takeover mTakeover;
   upstream_registry mRegistry;
   std::map<common::service_name, request::shared_retry_budget> mBudgets;
+  upstream_notices mNotices;
   std::set<entry_request*> mWaiting;
   bool mStopping = false;
   bool mClosing = false;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -9,9 +9,6 @@
 // Maximum fraction of its remaining time that a request waits for a key that is in hand-off or not
 // yet granted.
 constexpr double kMaxParkShare = 0.2;
-// Stops sending this long before the drain time ends, so that requests in flight still arrive in
-// time.
-constexpr common::milliseconds kDrainMargin{ 200 };
 // Weight of a new sample in the exponential moving average; one sample per tick.
 constexpr double kUtilizationSampleWeight = 0.1;
 
@@ -28,8 +25,9 @@
   MarkCrashSuspects();
   RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   mUpstream = aAnnouncement.id;
-  ++mIncarnation;
-  mNotice = {};
+  mUpstreamIncarnation = { aAnnouncement.id, aAnnouncement.startedMs };
+  mNotice.reset();
+  mAdmission.SetRateLimit(std::nullopt, mRuntime.Now());
   mService = aAnnouncement.service;
   mReady = false;
   mAdmission.SetSlots(aAnnouncement.slots);
@@ -166,6 +164,7 @@
 void upstream_gate::Admit(const request::request_facts& aFacts, gate_client* aClient)
 {
   common::boot_time now = mRuntime.Now();
+  AdoptLimit(aFacts);
   request::admission_decision decision = mAdmission.Offer(
     { aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target, aFacts.onlyIfFree }, now);
   if (decision.verdict == request::admission_verdict::kBusy) {
@@ -189,30 +188,44 @@
 {
   mRuntime.counters.Add("bamboograde_upstream_requests_total");
   aEntry.admitted = true;
-  aEntry.incarnation = mIncarnation;
+  aEntry.incarnation = mUpstreamIncarnation;
   aEntry.client->OnAdmitted();
 }
 
 void upstream_gate::OnNotice(gate_client* aClient, const request::upstream_notice& aNotice)
 {
   auto found = mIdsByClient.find(aClient);
-  if (found == mIdsByClient.end() || mEntries[found->second].incarnation != mIncarnation) {
+  if (found == mIdsByClient.end() || mEntries[found->second].incarnation != mUpstreamIncarnation) {
     return;
   }
+  request::upstream_notice before = mNotice.value_or(request::upstream_notice());
+  mNotice = aNotice;
   if (aNotice.unreadableLimit) {
     mRuntime.counters.Add("bamboograde_unreadable_limits_total");
+    mNotice->limit = before.limit;
   }
-  bool changed = aNotice.limit != mNotice.limit || aNotice.leaving != mNotice.leaving;
-  mNotice = aNotice;
-  if (changed) {
+  mAdmission.SetRateLimit(mNotice->limit, mRuntime.Now());
+  if (mNotice->limit != before.limit || mNotice->leaving != before.leaving) {
     mRuntime.log.Write(line_class::kState, "upstream_notice", [&] {
       common::json line = { { "upstream", mUpstream.Str() }, { "leaving", aNotice.leaving } };
-      if (aNotice.limit.has_value()) {
-        line["limit_per_s"] = aNotice.limit->PerSecond();
+      if (mNotice->limit.has_value()) {
+        line["limit_per_s"] = mNotice->limit->PerSecond();
       }
       return line;
     });
   }
+  if (aNotice.leaving && !before.leaving && mOnLeaving) {
+    mOnLeaving();
+  }
+}
+
+void upstream_gate::AdoptLimit(const request::request_facts& aFacts)
+{
+  bool adopts =
+    aFacts.namedLimit.has_value() && !mNotice.has_value() && aFacts.namedBy == mUpstreamIncarnation;
+  if (adopts) {
+    mAdmission.SetRateLimit(aFacts.namedLimit, mRuntime.Now());
+  }
 }
 
 void upstream_gate::Refuse(gate_client* aClient, request::attempt_refusal_reason aReason,
@@ -337,9 +350,12 @@
 request::load_report upstream_gate::Load() const
 {
   request::load_report report;
+  report.limit = mAdmission.UsableSlots();
   report.running = unsigned(mAdmission.Running());
+  if (!mAdmission.MayStart(mRuntime.Now())) {
+    report.running = std::max(report.running, report.limit);
+  }
   report.waiting = unsigned(mAdmission.Waiting() + mParked.size());
-  report.limit = mAdmission.Slots();
   report.serviceTime = mAdmission.MeanServiceTime();
   return report;
 }
@@ -353,9 +369,11 @@
   } else if (!mParked.empty()) {
     RetryParked();
   }
+  // A rate limit lets requests start while no other one ends.
+  StartNext();
   double sample = mAdmission.Slots() == 0 ? 0
                                           : double(mAdmission.Running() + mAdmission.Waiting()) /
-                                              double(mAdmission.Slots());
+                                              double(mAdmission.UsableSlots());
   mUtilization += kUtilizationSampleWeight * (sample - mUtilization);
 }
 
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -48,7 +48,13 @@
 class upstream_gate
 {
 public:
+  // Stops sending this long before the drain time ends, so that requests in flight still arrive in
+  // time.
+  static constexpr common::milliseconds kDrainMargin{ 200 };
+
   upstream_gate(runtime& aRuntime, request::suspect_list& aSuspects);
+  // The observer is called when the upstream says in a response that it leaves.
+  void SetLeavingObserver(std::function<void()> aObserver) { mOnLeaving = std::move(aObserver); }
 
   // A new incarnation of the upstream has announced itself; it gets requests after
   // OnUpstreamReady().
@@ -83,7 +89,10 @@
   const common::endpoint& Address() const { return mRuntime.settings.upstream; }
   request::load_report Load() const;
   // The requests per second that the upstream has named in its last response.
-  std::optional<request::request_rate> NamedLimit() const { return mNotice.limit; }
+  std::optional<request::request_rate> NamedLimit() const
+  {
+    return mNotice.has_value() ? mNotice->limit : std::nullopt;
+  }
   // Recent requests per key.
   version::key_load& KeyLoad() { return mKeyLoad; }
   // Running and waiting requests per slot, as a moving average.
@@ -101,7 +110,7 @@
     request::admission_id id = 0;
     bool admitted = false;
     // Incarnation of the upstream to which it was admitted.
-    uint64_t incarnation = 0;
+    version::upstream_incarnation incarnation;
   };
   // A request that waits until its key is granted here or moved to another owner.
   struct parked_request
@@ -127,6 +136,8 @@
   void Admit(const request::request_facts& aFacts, gate_client* aClient);
   void Refuse(gate_client* aClient, request::attempt_refusal_reason aReason,
               common::microseconds aRetryAfter = common::microseconds(0));
+  // Takes over a limit that another daemon knows from a response, until the first response here.
+  void AdoptLimit(const request::request_facts& aFacts);
   void NotifyAdmitted(admission_entry& aEntry);
   void StartNext();
   void RetryParked();
@@ -142,10 +153,10 @@
   request::admission mAdmission;
   version::upstream_id mUpstream;
   common::service_name mService;
-  // Counts the incarnations that were announced to this process.
-  uint64_t mIncarnation = 0;
-  // Of the last response of the current incarnation.
-  request::upstream_notice mNotice;
+  version::upstream_incarnation mUpstreamIncarnation;
+  // Of the last response of the current incarnation; empty before the first one.
+  std::optional<request::upstream_notice> mNotice;
+  std::function<void()> mOnLeaving;
   bool mReady = false;
   // End of the drain time of the current incarnation.
   common::boot_time mDrainedAt = common::boot_time::max();
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -28,6 +28,10 @@
   , mProbe(aRuntime, aCodec, [this] { OnConfirmedByProbe(); })
   , mDeferralTimer(aRuntime.loop, [this] { AcknowledgeDeferred(); })
 {
+  mGate.SetLeavingObserver([this] {
+    LogLeaving(mCurrent.id, "response");
+    StartLeaving();
+  });
   mKeys.SetKeysReceivedObserver([this] { mDeferralTimer.Arm(mRuntime.Now()); });
 }
 
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -69,29 +69,42 @@
 {
   mRanksByWork[aRequest.work] = aRequest.rank;
   offered_load& load = mOfferedLoads[UrgencyOf(aRequest)];
-  load.slots *= DecayFactor(aNow - load.updatedAt);
-  load.updatedAt = aNow;
+  load = load.DecayedTo(aNow);
   std::chrono::duration<double> time = ServiceTime(aRequest.work);
   std::chrono::duration<double> decayTime = kLoadDecayTime;
   load.slots += time.count() / decayTime.count();
+  load.arrivals += 1 / decayTime.count();
+}
+
+admission::offered_load admission::offered_load::DecayedTo(common::boot_time aNow) const
+{
+  double factor = DecayFactor(aNow - updatedAt);
+  return { slots * factor, arrivals * factor, aNow };
+}
+
+double admission::Share(const offered_load& aLoad) const
+{
+  std::optional<request_rate> limit = mRate.Limit();
+  double ofRate = limit.has_value() ? aLoad.arrivals / limit->PerSecond() : 0;
+  return std::max(aLoad.slots / mSlots, ofRate);
 }
 
 double admission::MoreUrgentShare(const urgency& aUrgency, common::boot_time aNow) const
 {
-  double busy = 0;
+  double share = 0;
   for (const auto& [urgency, load] : mOfferedLoads) {
-    busy += urgency < aUrgency ? load.slots * DecayFactor(aNow - load.updatedAt) : 0;
+    share += urgency < aUrgency ? Share(load.DecayedTo(aNow)) : 0;
   }
-  return std::min(busy / mSlots, kMaxMoreUrgentShare);
+  return std::min(share, kMaxMoreUrgentShare);
 }
 
 double admission::LessUrgentShare(const urgency& aUrgency, common::boot_time aNow) const
 {
-  double busy = 0;
+  double share = 0;
   for (const auto& [urgency, load] : mOfferedLoads) {
-    busy += urgency > aUrgency ? load.slots * DecayFactor(aNow - load.updatedAt) : 0;
+    share += urgency > aUrgency ? Share(load.DecayedTo(aNow)) : 0;
   }
-  return busy / mSlots;
+  return share;
 }
 
 common::microseconds admission::ExpectedWait(const urgency& aUrgency, common::boot_time aNow) const
@@ -99,7 +112,7 @@
   if (mSlots == 0) {
     return common::microseconds::max();
   }
-  if (mRunning.size() < mSlots && mWaiting.empty()) {
+  if (MayStart(aNow) && mWaiting.empty()) {
     return common::microseconds(0);
   }
   // Work ahead: the rest of the running requests, and queued requests that are at least as urgent.
@@ -109,19 +122,26 @@
     auto spent = std::chrono::duration_cast<common::microseconds>(aNow - running.startedAt);
     work += std::max(serviceTime - spent, serviceTime / 4);
   }
+  size_t ahead = 0;
   for (const auto& [key, waiting] : mWaiting) {
-    work += key.urgency <= aUrgency ? ServiceTime(waiting.request.work) : common::microseconds(0);
+    if (key.urgency <= aUrgency) {
+      work += ServiceTime(waiting.request.work);
+      ++ahead;
+    }
   }
-  return Scale(work / mSlots, 1 / (1 - MoreUrgentShare(aUrgency, aNow)));
+  bool slotFree = mRunning.size() + ahead < mSlots;
+  common::microseconds forSlot = slotFree ? common::microseconds(0) : work / mSlots;
+  common::microseconds wait = std::max(forSlot, mRate.WaitBehind(ahead, aNow));
+  return Scale(wait, 1 / (1 - MoreUrgentShare(aUrgency, aNow)));
 }
 
 admission_decision admission::Offer(const admission_request& aRequest, common::boot_time aNow)
 {
   admission_decision decision;
   decision.id = ++mLastId;
-  if (mRunning.size() < mSlots && mWaiting.empty()) {
+  if (MayStart(aNow) && mWaiting.empty()) {
     RecordArrival(aRequest, aNow);
-    mRunning[decision.id] = { aRequest, aNow };
+    Start(decision.id, aRequest, aNow);
     decision.verdict = admission_verdict::kStart;
     return decision;
   }
@@ -153,6 +173,23 @@
   return decision;
 }
 
+void admission::Start(admission_id aId, const admission_request& aRequest, common::boot_time aNow)
+{
+  mRunning[aId] = { aRequest, aNow };
+  mRate.OnStarted(aNow);
+}
+
+unsigned admission::UsableSlots() const
+{
+  std::optional<request_rate> limit = mRate.Limit();
+  if (!limit.has_value() || mMeanServiceTime.count() == 0) {
+    return mSlots;
+  }
+  std::chrono::duration<double> serviceTime = mMeanServiceTime;
+  double slots = limit->PerSecond() * serviceTime.count();
+  return unsigned(std::clamp(slots, 1.0, std::max(1.0, double(mSlots))));
+}
+
 void admission::OnFinished(admission_id aId, bool aServed, common::boot_time aNow)
 {
   auto found = mRunning.find(aId);
@@ -179,12 +216,12 @@
 
 std::optional<admission_id> admission::Next(common::boot_time aNow)
 {
-  if (mWaiting.empty() || mRunning.size() >= mSlots) {
+  if (mWaiting.empty() || !MayStart(aNow)) {
     return std::nullopt;
   }
   auto first = mWaiting.begin();
   admission_id id = first->first.id;
-  mRunning[id] = { std::move(first->second.request), aNow };
+  Start(id, first->second.request, aNow);
   mWaiting.erase(first);
   mWaitingKeys.erase(id);
   return id;
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -15,7 +15,7 @@
 // upstream).
 #pragma once
 
-#include "common/clock.h"
+#include "request/rate_limiter.h"
 
 #include <cstdint>
 #include <map>
@@ -64,6 +64,17 @@
   // Maximum number of requests that the upstream runs at the same time.
   void SetSlots(unsigned aSlots) { mSlots = aSlots; }
   unsigned Slots() const { return mSlots; }
+  // Requests per second that may start; empty: no limit but the slots.
+  void SetRateLimit(std::optional<request_rate> aLimit, common::boot_time aNow)
+  {
+    mRate.SetLimit(aLimit, aNow);
+  }
+  // Slots that the rate limit lets the upstream use, from the mean service time; at least 1.
+  unsigned UsableSlots() const;
+  bool MayStart(common::boot_time aNow) const
+  {
+    return mRunning.size() < mSlots && mRate.MayStart(aNow);
+  }
 
   admission_decision Offer(const admission_request& aRequest, common::boot_time aNow);
   // A running request has ended. aServed: the upstream answered, so the time is a sample of the
@@ -110,18 +121,26 @@
   {
     // Mean number of slots that the load keeps busy, exponentially decayed.
     double slots = 0;
+    // Requests per second, exponentially decayed.
+    double arrivals = 0;
     common::boot_time updatedAt;
+
+    offered_load DecayedTo(common::boot_time aNow) const;
   };
 
   urgency UrgencyOf(const admission_request& aRequest) const;
   common::microseconds ExpectedWait(const urgency& aUrgency, common::boot_time aNow) const;
-  // Share of the slots that more urgent requests are expected to keep busy.
+  // Share of the capacity that more urgent requests are expected to take.
   double MoreUrgentShare(const urgency& aUrgency, common::boot_time aNow) const;
-  // Share of the slots that less urgent requests would keep busy; above 1 under overload.
+  // Share of the capacity that less urgent requests would take; above 1 under overload.
   double LessUrgentShare(const urgency& aUrgency, common::boot_time aNow) const;
+  // Share of the slots or of the rate limit that this load takes, whichever is more.
+  double Share(const offered_load& aLoad) const;
+  void Start(admission_id aId, const admission_request& aRequest, common::boot_time aNow);
   void RecordArrival(const admission_request& aRequest, common::boot_time aNow);
 
   unsigned mSlots = 0;
+  rate_limiter mRate;
   admission_id mLastId = 0;
   std::map<order_key, entry> mWaiting;
   std::map<admission_id, order_key> mWaitingKeys;
--- a/src/request/attempt.cpp
+++ b/src/request/attempt.cpp
@@ -44,6 +44,11 @@
   if (aFacts.key.has_value()) {
     value["key"] = *aFacts.key;
   }
+  if (aFacts.namedLimit.has_value()) {
+    value["named_limit"] = { { "per_second", aFacts.namedLimit->PerSecond() },
+                             { "upstream", aFacts.namedBy.id.Str() },
+                             { "started_ms", aFacts.namedBy.startedMs } };
+  }
   if (aFacts.onlyIfFree) {
     value["only_if_free"] = true;
   }
@@ -64,6 +69,12 @@
   facts.fingerprint = common::GetNumber(aValue, "fingerprint");
   facts.mapVersion = common::row_version(common::GetNumber(aValue, "map"));
   facts.onlyIfFree = common::GetBool(aValue, "only_if_free");
+  if (aValue.contains("named_limit")) {
+    const common::json& limit = common::GetObject(aValue, "named_limit");
+    facts.namedLimit = request_rate(common::GetReal(limit, "per_second"));
+    facts.namedBy = { version::upstream_id(common::GetString(limit, "upstream")),
+                      common::GetNumber(limit, "started_ms") };
+  }
   if (aValue.contains("key")) {
     facts.key = uint32_t(common::GetNumber(aValue, "key"));
   }
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -5,6 +5,8 @@
 #include "common/json.h"
 #include "connection/http/message.h"
 #include "request/placement.h"
+#include "request/upstream_notice.h"
+#include "version/member.h"
 #include "version/route_config.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -35,6 +37,9 @@
   common::row_version mapVersion;
   // Query for a free slot: the gate refuses the request rather than queue it.
   bool onlyIfFree = false;
+  // The limit that the entry daemon has passed on to callers, and the upstream that named it.
+  std::optional<request_rate> namedLimit;
+  version::upstream_incarnation namedBy;
 };
 
 // Why an attempt ended without running the request.
--- a/src/version/member.cpp
+++ b/src/version/member.cpp
@@ -19,6 +19,7 @@
            { "control", aMember.control.Str() },
            { "service", aMember.service.Str() },
            { "upstream", aMember.upstream.Str() },
+           { "started_ms", aMember.startedMs },
            { "state", kStateNames[size_t(aMember.state)] },
            { "slots", aMember.slots },
            { "stopping", aMember.stopping },
@@ -35,6 +36,7 @@
   decoded.control = common::endpoint(common::GetString(aValue, "control"));
   decoded.service = common::service_name(common::GetString(aValue, "service"));
   decoded.upstream = upstream_id(common::GetString(aValue, "upstream"));
+  decoded.startedMs = common::GetNumber(aValue, "started_ms");
   decoded.slots = unsigned(common::GetNumber(aValue, "slots"));
   decoded.stopping = common::GetBool(aValue, "stopping");
   decoded.sequence = common::GetNumber(aValue, "sequence");
--- a/src/version/member.h
+++ b/src/version/member.h
@@ -11,6 +11,15 @@
 // Identifies one start of an upstream.
 using upstream_id = common::text_id<struct upstream_id_tag>;
 
+// One start of an upstream; it may have the id of an earlier one.
+struct upstream_incarnation
+{
+  upstream_id id;
+  // Wall clock of the upstream at its start.
+  uint64_t startedMs = 0;
+  auto operator<=>(const upstream_incarnation&) const = default;
+};
+
 enum class upstream_state
 {
   // No upstream is registered with the daemon.
@@ -32,6 +41,8 @@
   common::endpoint control;
   common::service_name service;
   upstream_id upstream;
+  // Wall clock of the upstream at its start.
+  uint64_t startedMs = 0;
   upstream_state state = upstream_state::kAbsent;
   // Requests that the upstream can run concurrently.
   unsigned slots = 0;
@@ -40,6 +51,7 @@
   // The daemon increases the sequence with each change of its record, also across its restarts.
   uint64_t sequence = 0;
 
+  upstream_incarnation Incarnation() const { return { upstream, startedMs }; }
   bool Serves(const common::service_name& aService) const
   {
     return state == upstream_state::kReady && !stopping && service == aService;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -68,6 +68,42 @@
   cr_assert(names.ReadAnswer(unstamped) == request::upstream_answer::kInvalid);
 }
 
+Test(header_names, reads_what_upstreams_say_of_themselves)
+{
+  struct limit_case
+  {
+    const char* text;
+    std::optional<double> limit;
+  };
+  const limit_case cases[] = {
+    { "7.8", 7.8 }, { "0", 0 },    { "12", 12 },  { "999999999", 999999999 },
+    { "", {} },     { "x", {} },   { "-1", {} },  { "7.8x", {} },
+    { " 7", {} },   { "nan", {} }, { "inf", {} }, { "1e5", {} }
+  };
+  platform::header_names names;
+  for (const limit_case& item : cases) {
+    header_list headers;
+    headers.Add("Server-Limit", item.text);
+    cr_assert_not(names.ReadNotice(headers).has_value(), "not stamped by the upstream");
+    headers.Add("X-Bamboograde-Server-Stamp", "3e1b");
+    auto notice = names.ReadNotice(headers);
+    cr_assert(notice.has_value());
+    cr_expect_eq(notice->limit.has_value(), item.limit.has_value(), "%s", item.text);
+    cr_expect_eq(notice->unreadableLimit, !item.limit.has_value(), "%s", item.text);
+    cr_expect_float_eq(notice->limit.value_or(request::request_rate()).PerSecond(),
+                       item.limit.value_or(0), 1e-9, "%s", item.text);
+    cr_expect_not(notice->leaving);
+  }
+  for (const char* text : { "0", "", "true", "11" }) {
+    header_list headers;
+    headers.Add("X-Bamboograde-Server-Stamp", "3e1b");
+    headers.Add("Server-Leaving", text);
+    cr_expect_not(names.ReadNotice(headers)->leaving, "%s", text);
+    headers.Set("Server-Leaving", "1");
+    cr_expect(names.ReadNotice(headers)->leaving);
+  }
+}
+
 Test(upstream_messages, reads_an_announcement)
 {
   platform::upstream_messages messages;
