Take the headers between daemons only from daemons

An upstream whose response had a header Bamboograde-Refusal was taken to have refused a request that it had run, so an unsafe request could be sent again; with Bamboograde-Failure its 200 became a 502. A caller's Bamboograde-Facts went before the entry daemon's and named its own service and deadline. The entry daemon and the gate now remove these headers from what callers and upstreams send.

Test: headers_of_the_daemons_are_not_taken_from_others failed before at all of these, passes now.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -138,6 +138,7 @@
     .first->second.OnRequest(mArrivedAt);
   mDeadline.Arm(mFacts.deadline);
   connection::http::RemoveHopByHopHeaders(&head.headers);
+  RemoveDaemonHeaders(&head.headers);
   return true;
 }
 
--- a/src/process/sidecar/local_attempt.cpp
+++ b/src/process/sidecar/local_attempt.cpp
@@ -1,5 +1,7 @@
 #include "process/sidecar/local_attempt.h"
 
+#include "process/sidecar/daemon_headers.h"
+
 #include <algorithm>
 
 namespace bamboograde::process::sidecar {
@@ -135,6 +137,7 @@
 void local_attempt::OnCallHead(connection::http::response_head& aHead)
 {
   request::attempt_ptr self(this);
+  RemoveDaemonHeaders(&aHead.headers);
   request::upstream_answer answer = mRuntime.headers.ReadAnswer(aHead);
   if (answer == request::upstream_answer::kRan) {
     if (auto notice = mRuntime.headers.ReadNotice(aHead.headers); notice.has_value()) {
--- a/src/process/sidecar/remote_attempt.h
+++ b/src/process/sidecar/remote_attempt.h
@@ -1,17 +1,12 @@
 // An attempt to run a request at the upstream of another daemon, through that daemon's gate.
 #pragma once
 
+#include "process/sidecar/daemon_headers.h"
 #include "process/sidecar/failure_detector.h"
 #include "request/attempt.h"
 
 namespace bamboograde::process::sidecar {
 
-// Headers between daemons; removed before a message reaches a caller or an upstream.
-constexpr char kFactsHeader[] = "Bamboograde-Facts";
-constexpr char kRefusalHeader[] = "Bamboograde-Refusal";
-constexpr char kFailureHeader[] = "Bamboograde-Failure";
-constexpr char kLoadHeader[] = "Bamboograde-Load";
-
 class remote_attempt
   : public request::attempt
   , private connection::http::call_observer
--- a/tests/platform/faulty_upstream_test.cpp
+++ b/tests/platform/faulty_upstream_test.cpp
@@ -161,3 +161,23 @@
     }
   }
 }
+
+// Headers between daemons mean nothing in messages of callers and upstreams.
+Test(faulty_upstream, headers_of_the_daemons_are_not_taken_from_others)
+{
+  faulty_fleet fleet;
+  const char* kForged[] = { "Bamboograde-Refusal: {\"reason\":\"busy\"}\r\n",
+                            "Bamboograde-Failure: lost\r\n", "Bamboograde-Load: [9,9,1,9]\r\n" };
+  for (const char* forged : kForged) {
+    fleet.vms[1]->upstream->RespondRaw([&](const std::string& aId, unsigned) {
+      ++fleet.record.runs[aId];
+      return raw_reply{ Message("200 OK", kStamp + IdLine(aId) + forged, "x") };
+    });
+    auto response = fleet.SendRequest(0, "POST", "/book/x", "", forged);
+    cr_expect_eq(response.status, 200, "%s: status %d", forged, response.status);
+    cr_expect_eq(fleet.record.runs[fleet.LastRequestId()], 1U, "%s", forged);
+  }
+  // A caller that names another service and a long deadline.
+  fleet.requestHeaders.Add("Bamboograde-Facts", "{\"service\":\"keyed\",\"left_us\":99000000}");
+  cr_expect_eq(fleet.SendRequest(0, "POST", "/book/x", "", "facts").status, 200);
+}
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -221,6 +221,9 @@
   head.headers.Add("Host", "h.example");
   head.headers.Add("X-Bamboograde-Request-Id", std::to_string(++mLastRequestId));
   head.headers.Add("X-Bamboograde-Deadline-Ms", std::to_string(kRequestTimeout.count()));
+  for (const auto& header : requestHeaders.Items()) {
+    head.headers.Add(header.name, header.value);
+  }
   if (!aKey.empty()) {
     head.headers.Add("X-Bamboograde-Shard-Key", aKey);
   }
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -116,6 +116,8 @@
   bool AllKeysHeld() const;
   std::string LastRequestId() const { return std::to_string(mLastRequestId); }
 
+  // Headers of the requests beside the usual ones.
+  connection::http::header_list requestHeaders;
   connection::http::event_loop loop;
   table_standin table;
   fleet_record record;
