Accept only requests that can end before a stopping daemon exits

In a planned stop, unsafe requests that came late in the grace time were accepted, passed on to the upstream and cut off when the daemon exited.

The gate checks again when it takes a request from its queue.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -129,6 +129,13 @@
   if (process.fleet.IsKeyed(mFacts.service)) {
     mFacts.key = caller.key.value_or(0);
   }
+  bool outlivesProcess =
+    mContext.stopping &&
+    mContext.responseTimes.LatestEnd(mFacts.work, mArrivedAt, mFacts.deadline) > mContext.exitAt;
+  if (outlivesProcess) {
+    RejectWithLongestRetryAfter("stopping");
+    return false;
+  }
   mMaxAttempts = std::max(route->maxAttempts, 1U);
   mContext.budgets
     .try_emplace(mFacts.service,
@@ -357,6 +364,7 @@
   runtime& process = mContext.process;
   auto spent = std::chrono::duration_cast<common::microseconds>(process.Now() - mArrivedAt);
   process.counters.Observe("bamboograde_request_seconds", spent);
+  mContext.responseTimes.Add(mFacts.work, spent);
   CompleteResponse(failed);
 }
 
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -21,12 +21,16 @@
   request::placement& placement;
   failure_detector& failureDetector;
   upstream_notices& notices;
+  // By route, from the arrival of a request to its response.
+  request::mean_times& responseTimes;
   // Retry budgets by service.
   std::map<common::service_name, request::shared_retry_budget>& budgets;
   // Requests that wait until their key has a usable owner.
   std::set<class entry_request*>& waitingForOwner;
   // The daemon is stopping; requests in flight are finished.
   const bool& stopping;
+  // When a stopping daemon exits, even with requests in flight.
+  const common::boot_time& exitAt;
   // The daemon is about to exit; new requests are rejected.
   const bool& closing;
 };
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -167,8 +167,8 @@
   , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { PublishMember(); })
-  , mEntry{ mRuntime, mGate,    mPlacement, mFailureDetector, mNotices,
-            mBudgets, mWaiting, mStopping,  mClosing }
+  , mEntry{ mRuntime, mGate,    mPlacement, mFailureDetector, mNotices, mResponseTimes,
+            mBudgets, mWaiting, mStopping,  mStopAt,          mClosing }
   , mCallers(std::make_unique<caller_listener>(*this))
   , mForwards(std::make_unique<forward_listener>(*this))
   , mControl(std::make_unique<control_listener>(*this))
@@ -355,7 +355,7 @@
   mLog.Write(line_class::kState, "stopping", [] { return common::json::object(); });
   // The local upstream is sent requests for half of the grace time; they have the other half to
   // finish.
-  mGate.StopAt(now + mSettings.bounds.grace / 2);
+  mGate.StopAt(now + mSettings.bounds.grace / 2, mStopAt);
   PublishMember();
   mKeys.HandOffAllKeys();
 }
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -82,6 +82,7 @@
   upstream_registry mRegistry;
   std::map<common::service_name, request::shared_retry_budget> mBudgets;
   upstream_notices mNotices;
+  request::mean_times mResponseTimes;
   std::set<entry_request*> mWaiting;
   bool mStopping = false;
   bool mClosing = false;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -54,11 +54,18 @@
   mBrokenRequests.clear();
 }
 
-void upstream_gate::StopAt(common::boot_time aTime)
+void upstream_gate::StopAt(common::boot_time aTime, common::boot_time aExit)
 {
+  mExitAt = aExit;
   Close(&mStopAt, aTime);
 }
 
+bool upstream_gate::EndsBeforeExit(const request::request_facts& aFacts) const
+{
+  return mAdmission.ServiceTimes().LatestEnd(aFacts.work, mRuntime.Now(), aFacts.deadline) <=
+         mExitAt;
+}
+
 void upstream_gate::Close(common::boot_time* aClosingTime, common::boot_time aTime)
 {
   if (aTime >= *aClosingTime) {
@@ -164,6 +171,10 @@
 void upstream_gate::Admit(const request::request_facts& aFacts, gate_client* aClient)
 {
   common::boot_time now = mRuntime.Now();
+  if (!EndsBeforeExit(aFacts)) {
+    Refuse(aClient, request::attempt_refusal_reason::kNoUpstream);
+    return;
+  }
   AdoptLimit(aFacts);
   request::admission_decision decision = mAdmission.Offer(
     { aFacts.work, aFacts.rank, aFacts.deadline, aFacts.target, aFacts.onlyIfFree }, now);
@@ -283,9 +294,11 @@
   for (auto id = mAdmission.Next(now); id.has_value(); id = mAdmission.Next(now)) {
     admission_entry& next = mEntries[*id];
     gate_client* client = next.client;
-    // The key may have been moved or paused while the request was queued.
-    bool moved = next.facts.key.has_value() && StatusOf(*next.facts.key) != key_status::kHeld;
-    if (moved) {
+    // The key may have been moved or paused while the request was queued, or the daemon stops.
+    bool resubmitted =
+      !EndsBeforeExit(next.facts) ||
+      (next.facts.key.has_value() && StatusOf(*next.facts.key) != key_status::kHeld);
+    if (resubmitted) {
       request::request_facts facts = next.facts;
       mAdmission.OnFinished(*id, false, now);
       mEntries.erase(*id);
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -64,8 +64,9 @@
   // the end of the drain time.
   void OnUpstreamLeaving();
   void OnUpstreamLost();
-  // The daemon stops: from aTime on, no request is sent to any incarnation of the upstream.
-  void StopAt(common::boot_time aTime);
+  // The daemon stops: from aTime on, no request is sent to any incarnation of the upstream. Before,
+  // a request is sent only if it can end until aExit.
+  void StopAt(common::boot_time aTime, common::boot_time aExit);
   // From when on no request is sent to this incarnation of the upstream.
   common::boot_time ClosesAt() const { return std::min(mDrainedAt, mStopAt); }
 
@@ -129,6 +130,7 @@
   };
 
   bool Closed() const { return mRuntime.Now() >= ClosesAt(); }
+  bool EndsBeforeExit(const request::request_facts& aFacts) const;
   // Sets one of the closing times, unless it is set to an earlier time.
   void Close(common::boot_time* aClosingTime, common::boot_time aTime);
   key_status StatusOf(uint32_t aKey) const;
@@ -161,6 +163,8 @@
   // End of the drain time of the current incarnation.
   common::boot_time mDrainedAt = common::boot_time::max();
   common::boot_time mStopAt = common::boot_time::max();
+  // When the stopping daemon exits, even with requests in flight.
+  common::boot_time mExitAt = common::boot_time::max();
   std::vector<version::held_range> mKeys;
   common::boot_time mKeysUntil;
   std::vector<version::key_range> mPausedKeys;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Weight of the newest sample in the exponentially weighted mean service times.
-constexpr double kSampleWeight = 0.1;
 // Service time before the first sample of a class. Low, so that no request is rejected because of
 // an assumption.
 constexpr common::microseconds kDefaultServiceTime{ 20000 };
@@ -40,20 +38,11 @@
   return std::exp(-aTime.count() / decayTime.count());
 }
 
-common::microseconds Average(common::microseconds aMean, common::microseconds aSample)
-{
-  if (aMean.count() == 0) {
-    return aSample;
-  }
-  return Scale(aMean, 1 - kSampleWeight) + Scale(aSample, kSampleWeight);
-}
-
 } // namespace
 
 common::microseconds admission::ServiceTime(const std::string& aWork) const
 {
-  auto found = mServiceTimes.find(aWork);
-  return found == mServiceTimes.end() ? kDefaultServiceTime : found->second;
+  return mServiceTimes.Mean(aWork).value_or(kDefaultServiceTime);
 }
 
 admission::urgency admission::UrgencyOf(const admission_request& aRequest) const
@@ -198,9 +187,8 @@
   }
   if (aServed) {
     auto spent = std::chrono::duration_cast<common::microseconds>(aNow - found->second.startedAt);
-    common::microseconds& mean = mServiceTimes[found->second.request.work];
-    mean = Average(mean, spent);
-    mMeanServiceTime = Average(mMeanServiceTime, spent);
+    mServiceTimes.Add(found->second.request.work, spent);
+    mMeanServiceTime = WeightedMean(mMeanServiceTime, spent);
   }
   mRunning.erase(found);
 }
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -15,6 +15,7 @@
 // upstream).
 #pragma once
 
+#include "request/mean_times.h"
 #include "request/rate_limiter.h"
 
 #include <cstdint>
@@ -93,6 +94,7 @@
   size_t Waiting() const { return mWaiting.size(); }
   // Mean time that a request of this class runs, or a default before the first sample.
   common::microseconds ServiceTime(const std::string& aWork) const;
+  const mean_times& ServiceTimes() const { return mServiceTimes; }
   // Mean over all classes, for load reports.
   common::microseconds MeanServiceTime() const { return mMeanServiceTime; }
 
@@ -148,7 +150,7 @@
   std::map<urgency, offered_load> mOfferedLoads;
   // Rank of the newest request of each class.
   std::map<std::string, unsigned> mRanksByWork;
-  std::map<std::string, common::microseconds> mServiceTimes;
+  mean_times mServiceTimes;
   common::microseconds mMeanServiceTime{ 0 };
 };
 
--- /dev/null
+++ b/src/request/mean_times.h
@@ -0,0 +1,30 @@
+// Mean time that the requests of each class take, weighted towards the latest ones.
+#pragma once
+
+#include "common/clock.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bamboograde::request {
+
+class mean_times
+{
+public:
+  void Add(const std::string& aWork, common::microseconds aTime);
+  // Empty before the first sample.
+  std::optional<common::microseconds> Mean(const std::string& aWork) const;
+  // Time by which nearly all requests of the class that start at aStart have ended: at most
+  // aDeadline, and aDeadline before the first sample.
+  common::boot_time LatestEnd(const std::string& aWork, common::boot_time aStart,
+                              common::boot_time aDeadline) const;
+
+private:
+  std::map<std::string, common::microseconds> mMeans;
+};
+
+// Mean after one more sample; a mean of 0 stands for no sample.
+common::microseconds WeightedMean(common::microseconds aMean, common::microseconds aSample);
+
+} // namespace bamboograde::request
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -154,7 +154,7 @@
   fixture.gate.Submit(fixture.facts, &running);
   fixture.gate.Submit(fixture.facts, &waiting);
   cr_assert(running.admitted && !waiting.admitted && !waiting.refused);
-  fixture.gate.StopAt(fixture.base.runtime.Now());
+  fixture.gate.StopAt(fixture.base.runtime.Now(), common::boot_time::max());
   fixture.gate.Finish(&running, upstream_outcome::kServed);
   cr_assert_not(waiting.admitted);
   cr_assert(waiting.refused);
@@ -165,7 +165,7 @@
 Test(upstream_gate, the_gate_of_a_stopping_daemon_stays_closed_for_a_new_incarnation)
 {
   gate_fixture fixture;
-  fixture.gate.StopAt(fixture.base.runtime.Now());
+  fixture.gate.StopAt(fixture.base.runtime.Now(), common::boot_time::max());
   ++fixture.upstream.startedMs;
   fixture.gate.OnUpstreamStarted(fixture.upstream);
   fixture.gate.OnUpstreamReady(fixture.upstream);
@@ -220,7 +220,8 @@
   request::attempt_ptr attempt(
     new local_attempt(fixture.base.runtime, fixture.gate, {}, fixture.facts, &observer));
   attempt->Start("", true);
-  fixture.gate.StopAt(fixture.base.runtime.Now() + common::milliseconds(200));
+  fixture.gate.StopAt(fixture.base.runtime.Now() + common::milliseconds(200),
+                      common::boot_time::max());
   fixture.RunFor(common::milliseconds(400));
   listener.Accept();
   fixture.RunFor(common::milliseconds(1500));
