Leave out entries whose numbers or nesting are out of range

A member row with a huge sequence hid all later records of its VM. Values of any nesting were accepted, and are copied and serialized recursively.

A row that can not be decoded is left out, logged once and counted; the others hold. Ports out of range already were an error.

--- a/src/common/json.cpp
+++ b/src/common/json.cpp
@@ -1,9 +1,37 @@
 #include "common/json.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace bamboograde::common {
 
 namespace {
 
+constexpr size_t kMaxNesting = 64;
+
+// Whether arrays and objects are nested deeper than kMaxNesting.
+bool IsNestedTooDeep(std::string_view aText)
+{
+  size_t depth = 0;
+  bool inString = false;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    char c = aText[i];
+    if (inString) {
+      i += c == '\\' ? 1 : 0;
+      inString = c != '"';
+    } else if (c == '"') {
+      inString = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxNesting) {
+        return true;
+      }
+    } else if (c == ']' || c == '}') {
+      depth -= depth > 0 ? 1 : 0;
+    }
+  }
+  return false;
+}
+
 const json* Member(const json& aObject, const char* aName)
 {
   if (!aObject.is_object()) {
@@ -17,6 +45,9 @@
 
 result<json> ParseJson(std::string_view aText)
 {
+  if (IsNestedTooDeep(aText)) {
+    return error{ error_code::kInvalidInput, "The text is nested too deep." };
+  }
   json value = json::parse(aText, nullptr, false);
   if (value.is_discarded()) {
     return error{ error_code::kInvalidInput, "The text is not valid JSON." };
@@ -42,6 +73,20 @@
   return member != nullptr && member->is_number() ? member->get<double>() : aDefault;
 }
 
+std::optional<unsigned> GetUnsigned(const json& aObject, const char* aName)
+{
+  const json* member = Member(aObject, aName);
+  bool usable = member != nullptr && member->is_number_unsigned() &&
+                member->get<uint64_t>() <= std::numeric_limits<unsigned>::max();
+  return usable ? std::optional(member->get<unsigned>()) : std::nullopt;
+}
+
+milliseconds GetMilliseconds(const json& aObject, const char* aName)
+{
+  double longest = double(kMaxTimeSpan.count());
+  return milliseconds(int64_t(std::clamp(GetReal(aObject, aName), 0.0, longest)));
+}
+
 bool GetBool(const json& aObject, const char* aName, bool aDefault)
 {
   const json* member = Member(aObject, aName);
--- a/src/process/sidecar/platform_fleet_sync.cpp
+++ b/src/process/sidecar/platform_fleet_sync.cpp
@@ -91,9 +91,17 @@
   if (aRow.name.compare(0, sizeof(kMemberPrefix) - 1, kMemberPrefix) == 0) {
     if (auto member = version::DecodeMember(aRow.value); member.has_value()) {
       mRuntime.fleet.ApplyMember(*member);
+      return;
     }
   } else if (auto map = version::DecodeKeyMap(aRow.value, aRow.version); map != nullptr) {
     mRuntime.fleet.ApplyKeyMap(map);
+    return;
+  }
+  mRuntime.counters.Add("bamboograde_rows_ignored_total");
+  if (mIgnoredRows.insert(aRow.name).second) {
+    mRuntime.log.Write(line_class::kState, "row_ignored", [&] {
+      return common::json{ { "row", aRow.name }, { "version", aRow.version.Value() } };
+    });
   }
 }
 
--- a/src/process/sidecar/platform_fleet_sync.h
+++ b/src/process/sidecar/platform_fleet_sync.h
@@ -9,6 +9,8 @@
 #include "connection/platform_store.h"
 #include "process/sidecar/gossip.h"
 
+#include <set>
+
 namespace bamboograde::process::sidecar {
 
 class platform_fleet_sync
@@ -32,6 +34,8 @@
   const gossip& mGossip;
   std::function<void()> mOnRead;
   version::member mSelf;
+  // Rows that could not be decoded and were logged.
+  std::set<std::string> mIgnoredRows;
   bool mWritten = false;
   bool mCallInFlight = false;
   common::boot_time mWriteAt;
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -302,7 +302,7 @@
   mSelf.sequence = std::max(unixMs, last + 1);
   mSelf.service = mRegistry.Current().service;
   mSelf.upstream = mRegistry.Current().id;
-  mSelf.startedMs = mRegistry.Current().startedMs;
+  mSelf.startedMs = uint64_t(mRegistry.Current().startedMs);
   mSelf.state = mRegistry.State();
   mSelf.slots = mRegistry.Current().slots;
   mSelf.stopping = mStopping;
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -25,7 +25,7 @@
   MarkCrashSuspects();
   RefuseWaiting(request::attempt_refusal_reason::kNoUpstream);
   mUpstream = aAnnouncement.id;
-  mUpstreamIncarnation = { aAnnouncement.id, aAnnouncement.startedMs };
+  mUpstreamIncarnation = { aAnnouncement.id, uint64_t(aAnnouncement.startedMs) };
   mNotice.reset();
   mAdmission.SetRateLimit(std::nullopt, mRuntime.Now());
   mService = aAnnouncement.service;
--- a/src/version/key_map.cpp
+++ b/src/version/key_map.cpp
@@ -19,10 +19,13 @@
   if (!wellFormed) {
     return false;
   }
+  if (aValue[0].get<uint64_t>() >= kKeyPositions || aValue[1].get<uint64_t>() >= kKeyPositions) {
+    return false;
+  }
   aRange->range = { aValue[0].get<uint32_t>(), aValue[1].get<uint32_t>() };
   aRange->token = fencing_token(aValue[2].get<uint64_t>());
   aRange->handover = aValue[3].get<std::string>();
-  return aRange->range.first <= aRange->range.last && aRange->range.last < kKeyPositions;
+  return aRange->range.first <= aRange->range.last;
 }
 
 common::json EncodeOwner(const key_owner& aOwner)
--- a/src/version/member.cpp
+++ b/src/version/member.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Sequences are milliseconds since 1970 or little more. A record with a greater one would replace
+// all later records of its VM.
+constexpr uint64_t kMaxSequence = uint64_t(1) << 48;
 constexpr std::array<const char*, 3> kStateNames = { "absent", "ready", "leaving" };
 
 } // namespace
@@ -37,7 +40,8 @@
   decoded.service = common::service_name(common::GetString(aValue, "service"));
   decoded.upstream = upstream_id(common::GetString(aValue, "upstream"));
   decoded.startedMs = common::GetNumber(aValue, "started_ms");
-  decoded.slots = unsigned(common::GetNumber(aValue, "slots"));
+  std::optional<unsigned> slots = common::GetUnsigned(aValue, "slots");
+  decoded.slots = slots.value_or(0);
   decoded.stopping = common::GetBool(aValue, "stopping");
   decoded.sequence = common::GetNumber(aValue, "sequence");
   std::string state = common::GetString(aValue, "state");
@@ -46,7 +50,8 @@
       decoded.state = upstream_state(i);
     }
   }
-  bool usable = !decoded.vm.empty() && !decoded.boot.Empty() && !decoded.control.Empty();
+  bool usable = !decoded.vm.empty() && !decoded.boot.Empty() && !decoded.control.Empty() &&
+                slots.has_value() && decoded.sequence <= kMaxSequence;
   return usable ? std::optional(decoded) : std::nullopt;
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -139,6 +139,26 @@
   }
 }
 
+Test(upstream_messages, rejects_numbers_out_of_range)
+{
+  platform::upstream_messages messages;
+  auto decode = [&messages](const std::string& aSlots, const std::string& aRange,
+                            const std::string& aColdLeft) {
+    return messages.DecodeAnnouncement(
+      version::upstream_id("i-1"),
+      R"({"address":"127.0.0.1:8080","born":1,"info":{"service":"s","slots":)" + aSlots +
+        R"(},"status":{"state":"ready","callSeq":4,"coldLeftMs":)" + aColdLeft + R"(},"holds":[)" +
+        aRange + R"(,7]],"freed":[]})");
+  };
+  cr_assert(decode("6", "[0,9", "0").has_value());
+  cr_expect_not(decode("4294967302", "[0,9", "0").has_value());
+  cr_expect_not(decode("1e400", "[0,9", "0").has_value());
+  cr_expect_not(decode("6", "[4294967296,4294967305", "0").has_value());
+  auto cold = decode("6", "[0,9", "1e300");
+  cr_assert(cold.has_value());
+  cr_expect(cold.assume_value().warmupLeft <= common::kMaxTimeSpan);
+}
+
 Test(upstream_messages, encodes_acknowledgements_with_and_without_a_grant)
 {
   platform::upstream_messages messages;
--- a/tests/platform/configuration_test.cpp
+++ b/tests/platform/configuration_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const std::vector<std::string> kServices = { "keyed", "plain", "plain" };
+constexpr char kTableAddress[] = "127.0.9.9:7998";
 constexpr common::milliseconds kStartTimeout{ 6000 };
 // Maximum time from the platform's acknowledgement of a configuration to its use by every daemon.
 constexpr common::milliseconds kApplyTime{ 2000 };
@@ -34,7 +35,7 @@
 public:
   feed_fixture()
   {
-    cr_assert(table.Listen(kTableAddress).has_value());
+    cr_assert(table.Listen(common::endpoint(kTableAddress)).has_value());
     feed.SetMaxWait(common::milliseconds(1000));
     Put(1);
     feed.Start(this);
@@ -60,9 +61,8 @@
     reported = common::GetNumber(aRow.value, "version");
   }
 
-  const common::endpoint kTableAddress{ "127.0.9.9:7998" };
   connection::http::client_pool mPool{ loop };
-  platform::table_service mService{ loop, mPool, kTableAddress };
+  platform::table_service mService{ loop, mPool, common::endpoint(kTableAddress) };
 
 public:
   platform::table_feed feed{ mService, platform::kOperatorTable };
