--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -28,6 +28,7 @@
 std::mutex cleanup_mutex;
 std::vector<pid_t> children;
 std::string temporary_folder;
+pid_t owner = 0;
 
 std::mt19937_64& random_engine()
 {
@@ -967,9 +968,13 @@
   , m_options(o)
 {
   signal(SIGPIPE, SIG_IGN);
+  owner = getpid();
   for (int number : { SIGTERM, SIGINT, SIGHUP }) {
     ::signal(number, [](int) {
-      end_children();
+      // A child between fork and exec still has this handler.
+      if (getpid() == owner) {
+        end_children();
+      }
       _exit(2);
     });
   }
