--- a/src/process/sidecar/fleet_state.cpp
+++ b/src/process/sidecar/fleet_state.cpp
@@ -65,6 +65,21 @@
   return found == mKeyMaps.end() ? nullptr : found->second;
 }
 
+void fleet_state::ConfirmKeyMap(const common::service_name& aService,
+                                const lease::map_confirmation& aConfirmation)
+{
+  lease::map_confirmation& latest = mKeyMapConfirmations[aService];
+  if (aConfirmation.at > latest.at) {
+    latest = aConfirmation;
+  }
+}
+
+lease::map_confirmation fleet_state::KeyMapConfirmation(const common::service_name& aService) const
+{
+  auto found = mKeyMapConfirmations.find(aService);
+  return found == mKeyMapConfirmations.end() ? lease::map_confirmation() : found->second;
+}
+
 std::vector<const version::member*> fleet_state::RunningPeers(const std::string& aVm) const
 {
   std::vector<const version::member*> peers;
--- a/src/process/sidecar/fleet_state.h
+++ b/src/process/sidecar/fleet_state.h
@@ -2,6 +2,7 @@
 // version.
 #pragma once
 
+#include "process/lease/suspicion_lease.h"
 #include "version/config_decoder.h"
 #include "version/key_map.h"
 #include "version/member.h"
@@ -35,6 +36,10 @@
   // aValue: the configuration in the operator's format.
   bool ApplyConfig(const common::json& aValue);
   bool ApplyKeyMap(const version::key_map_ptr& aMap);
+  // Notes that the platform had no newer version of the service's key map at some moment not before
+  // the confirmation's time.
+  void ConfirmKeyMap(const common::service_name& aService,
+                     const lease::map_confirmation& aConfirmation);
 
   const version::member_list& Members() const { return mMembers; }
   // Null until the first configuration arrives.
@@ -43,6 +48,9 @@
   // Null if the service has no key map.
   version::key_map_ptr KeyMap(const common::service_name& aService) const;
   const std::map<common::service_name, version::key_map_ptr>& KeyMaps() const { return mKeyMaps; }
+  // The latest confirmation of the service's key map; its time is the clock's origin if there is
+  // none.
+  lease::map_confirmation KeyMapConfirmation(const common::service_name& aService) const;
   // Members that are not stopping, except the one on aVm, ordered by VM. The pointers are valid
   // until a member changes.
   std::vector<const version::member*> RunningPeers(const std::string& aVm) const;
@@ -58,6 +66,7 @@
   version::route_config_ptr mConfig;
   common::json mConfigValue;
   std::map<common::service_name, version::key_map_ptr> mKeyMaps;
+  std::map<common::service_name, lease::map_confirmation> mKeyMapConfirmations;
 };
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -112,19 +112,26 @@
   if (!mSuspects.Empty()) {
     body["suspects"] = mSuspects.Export();
   }
-  mMessenger.Send(aControl, kComparePath, body, mRuntime.Now() + kTimeout,
-                  [this, aControl](const common::result<common::json>& aResponse) {
-                    mComparing.erase(aControl);
-                    if (!aResponse.has_value()) {
-                      return;
-                    }
-                    mHeardAt = mRuntime.Now();
-                    const common::json& response = aResponse.assume_value();
-                    OnPeerState(response);
-                    if (response.contains("versions")) {
-                      Exchange(aControl, response["versions"]);
-                    }
-                  });
+  mMessenger.Send(
+    aControl, kComparePath, body, mRuntime.Now() + kTimeout,
+    [this, aControl, sentAt = mRuntime.Now()](const common::result<common::json>& aResponse) {
+      mComparing.erase(aControl);
+      if (!aResponse.has_value()) {
+        if (mObserver != nullptr) {
+          mObserver->OnNoReport(aControl);
+        }
+        return;
+      }
+      mHeardAt = mRuntime.Now();
+      const common::json& response = aResponse.assume_value();
+      OnPeerState(response);
+      if (mObserver != nullptr) {
+        mObserver->OnReport(aControl, common::GetObject(response, "owners"), sentAt);
+      }
+      if (response.contains("versions")) {
+        Exchange(aControl, response["versions"]);
+      }
+    });
 }
 
 common::json gossip::OnCompare(const common::json& aBody)
@@ -135,6 +142,9 @@
   if (!mSuspects.Empty()) {
     response["suspects"] = mSuspects.Export();
   }
+  if (mObserver != nullptr) {
+    response["owners"] = mObserver->Report();
+  }
   if (common::GetNumber(aBody, "digest") != Digest()) {
     response["versions"] = Versions();
   }
--- a/src/process/sidecar/gossip.h
+++ b/src/process/sidecar/gossip.h
@@ -14,12 +14,26 @@
 
 namespace bamboograde::process::sidecar {
 
+// Adds a report to the responses of comparisons.
+class compare_observer
+{
+public:
+  virtual ~compare_observer() = default;
+  // This daemon's report for a peer.
+  virtual common::json Report() const = 0;
+  // The report in a peer's response to a comparison that was sent at aSentAt.
+  virtual void OnReport(const common::endpoint& aControl, const common::json& aReport,
+                        common::boot_time aSentAt) = 0;
+  virtual void OnNoReport(const common::endpoint& aControl) = 0;
+};
+
 class gossip
 {
 public:
   gossip(runtime& aRuntime, peer_messenger& aMessenger, config_sync& aConfig,
          request::suspect_list& aSuspects);
   void Start();
+  void SetCompareObserver(compare_observer* aObserver) { mObserver = aObserver; }
   // Compares with one daemon now; at most one comparison per daemon is pending.
   void Compare(const common::endpoint& aControl);
   // Handlers of control messages from peers; they return the response.
@@ -44,6 +58,7 @@
   config_sync& mConfig;
   request::suspect_list& mSuspects;
   connection::http::loop_timer mTimer;
+  compare_observer* mObserver = nullptr;
   std::set<common::endpoint> mComparing;
   common::boot_time mHeardAt;
 };
--- a/src/process/sidecar/key_map_editor.cpp
+++ b/src/process/sidecar/key_map_editor.cpp
@@ -42,14 +42,25 @@
   change.conditions.push_back({ name, changed->version });
   change.writes.push_back({ name, version::EncodeKeyMap(*changed) });
   mStore.Commit(change, mRuntime.Now() + kCommitTimeout,
-                [this, known, changed,
+                [this, known, changed, sentAt = mRuntime.Now(),
                  callback = std::move(aCallback)](const connection::commit_result& aResult) {
-                  OnCommitResult(known, changed, aResult, callback);
+                  OnCommitResult(sentAt, known, changed, aResult, callback);
                 });
   return true;
 }
 
-void key_map_editor::OnCommitResult(const version::key_map_ptr& aBefore,
+void key_map_editor::Refresh(const common::service_name& aService)
+{
+  mStore.Read(
+    kKeyRowPrefix + aService.Str(), mRuntime.Now() + kReadTimeout,
+    [this, sentAt = mRuntime.Now()](const common::result<connection::platform_row>& aRow) {
+      if (aRow.has_value()) {
+        ApplyRow(aRow.assume_value(), sentAt);
+      }
+    });
+}
+
+void key_map_editor::OnCommitResult(common::boot_time aSentAt, const version::key_map_ptr& aBefore,
                                     const boost::intrusive_ptr<version::key_map>& aMap,
                                     const connection::commit_result& aResult,
                                     const edit_callback& aCallback)
@@ -58,13 +69,14 @@
     case connection::commit_outcome::kCommitted:
       mBusy = false;
       aMap->version = aResult.version;
+      mRuntime.fleet.ConfirmKeyMap(aMap->service, { aMap->version, aSentAt });
       mRuntime.fleet.ApplyKeyMap(aMap);
       mBroadcast.BroadcastKeyMap(aBefore.get(), *aMap);
       OnCommitted(*aMap, aCallback);
       return;
     case connection::commit_outcome::kConflict:
       mRuntime.counters.Add("bamboograde_key_map_conflicts_total");
-      if (aResult.current.size() == 1 && ApplyRow(aResult.current.front()) != nullptr) {
+      if (aResult.current.size() == 1 && ApplyRow(aResult.current.front(), aSentAt) != nullptr) {
         mBusy = false;
         aCallback(edit_outcome::kConflict);
         return;
@@ -88,12 +100,14 @@
   aCallback(edit_outcome::kCommitted);
 }
 
-version::key_map_ptr key_map_editor::ApplyRow(const connection::platform_row& aRow)
+version::key_map_ptr key_map_editor::ApplyRow(const connection::platform_row& aRow,
+                                              common::boot_time aSentAt)
 {
   auto map = version::DecodeKeyMap(aRow.value, aRow.version);
   if (map == nullptr) {
     return nullptr;
   }
+  mRuntime.fleet.ConfirmKeyMap(map->service, { map->version, aSentAt });
   version::key_map_ptr previous = mRuntime.fleet.KeyMap(map->service);
   bool isNewer = mRuntime.fleet.ApplyKeyMap(map);
   if (isNewer && mMayHaveUnbroadcastCommit) {
@@ -106,24 +120,25 @@
 void key_map_editor::ReadAfter(const boost::intrusive_ptr<version::key_map>& aSubmitted,
                                edit_outcome aOutcome, const edit_callback& aCallback)
 {
-  mStore.Read(
-    kKeyRowPrefix + aSubmitted->service.Str(), mRuntime.Now() + kReadTimeout,
-    [this, aSubmitted, aOutcome, aCallback](const common::result<connection::platform_row>& aRow) {
-      mBusy = false;
-      version::key_map_ptr map;
-      if (aRow.has_value()) {
-        map = ApplyRow(aRow.assume_value());
-      } else {
-        mHealthyFrom = mRuntime.Now() + kUnhealthyDuration;
-      }
-      bool committed = aOutcome == edit_outcome::kUnknown && map != nullptr &&
-                       map->version > aSubmitted->version && SameContent(*map, *aSubmitted);
-      if (committed) {
-        OnCommitted(*map, aCallback);
-        return;
-      }
-      aCallback(aOutcome);
-    });
+  mStore.Read(kKeyRowPrefix + aSubmitted->service.Str(), mRuntime.Now() + kReadTimeout,
+              [this, aSubmitted, aOutcome, aCallback,
+               sentAt = mRuntime.Now()](const common::result<connection::platform_row>& aRow) {
+                mBusy = false;
+                version::key_map_ptr map;
+                if (aRow.has_value()) {
+                  map = ApplyRow(aRow.assume_value(), sentAt);
+                } else {
+                  mHealthyFrom = mRuntime.Now() + kUnhealthyDuration;
+                }
+                bool committed = aOutcome == edit_outcome::kUnknown && map != nullptr &&
+                                 map->version > aSubmitted->version &&
+                                 SameContent(*map, *aSubmitted);
+                if (committed) {
+                  OnCommitted(*map, aCallback);
+                  return;
+                }
+                aCallback(aOutcome);
+              });
 }
 
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/key_map_editor.h
+++ b/src/process/sidecar/key_map_editor.h
@@ -36,17 +36,20 @@
   // Applies the edit to the newest known map and submits it. Returns false, without calling back,
   // when another change is pending or the edit returns false.
   bool Edit(const common::service_name& aService, const edit& aEdit, edit_callback aCallback);
+  // Reads the newest map and applies it.
+  void Refresh(const common::service_name& aService);
   bool Busy() const { return mBusy; }
   // Whether none of this editor's platform calls has failed recently.
   bool Healthy() const { return mRuntime.Now() >= mHealthyFrom; }
 
 private:
-  void OnCommitResult(const version::key_map_ptr& aBefore,
+  void OnCommitResult(common::boot_time aSentAt, const version::key_map_ptr& aBefore,
                       const boost::intrusive_ptr<version::key_map>& aMap,
                       const connection::commit_result& aResult, const edit_callback& aCallback);
   void OnCommitted(const version::key_map& aMap, const edit_callback& aCallback);
-  // Applies the map in a platform row; returns null when the row holds none.
-  version::key_map_ptr ApplyRow(const connection::platform_row& aRow);
+  // Applies the map in a row that the platform returned for a call sent at aSentAt; returns null
+  // when the row holds none.
+  version::key_map_ptr ApplyRow(const connection::platform_row& aRow, common::boot_time aSentAt);
   // Reads the row to determine whether a change was committed, then calls back.
   void ReadAfter(const boost::intrusive_ptr<version::key_map>& aSubmitted, edit_outcome aOutcome,
                  const edit_callback& aCallback);
--- a/src/process/sidecar/key_ownership.cpp
+++ b/src/process/sidecar/key_ownership.cpp
@@ -89,12 +89,13 @@
 key_ownership::key_ownership(runtime& aRuntime, const upstream_codec& aCodec,
                              key_map_editor& aEditor, peer_messenger& aMessenger,
                              upstream_gate& aGate, request::placement& aPlacement,
-                             common::boot_id aBoot)
+                             owner_watch& aOwners, common::boot_id aBoot)
   : mRuntime(aRuntime)
   , mEditor(aEditor)
   , mMessenger(aMessenger)
   , mGate(aGate)
   , mPlacement(aPlacement)
+  , mOwners(aOwners)
   , mBoot(std::move(aBoot))
   , mTerms(LeaseTermsFor(aRuntime.settings.announcePeriod))
   , mLease(mTerms)
@@ -245,6 +246,7 @@
       own->session = session;
       own->upstream = mIncarnation;
       own->witnesses = witnesses;
+      own->suspicion = {};
       return true;
     },
     [this, session, witnesses](edit_outcome aOutcome) {
@@ -256,6 +258,7 @@
         return;
       }
       mSession = session;
+      mOwners.SetSession(mGate.Service(), session);
       mSessionStartedAt = mRuntime.Now();
       mLease = lease::lease_holder(mTerms);
       mLease.SetWitnesses(witnesses);
@@ -281,7 +284,7 @@
   std::vector<lease::witness_candidate> others;
   common::boot_time now = mRuntime.Now();
   for (const version::member* peer : mRuntime.fleet.RunningPeers(settings.vm)) {
-    if (!mPlacement.IsAvoided(peer->vm, now)) {
+    if (!mPlacement.IsAvoided(peer->vm, now) && !mOwners.IsSilent(peer->control)) {
       lease::witness_candidate& other = others.emplace_back();
       other.ref = { peer->control, peer->boot };
       other.zone = peer->zone;
@@ -307,7 +310,11 @@
                               const common::session_id& aSession, common::boot_time aSentAt,
                               const common::result<common::json>& aResponse)
 {
-  if (aSession != mSession || !aResponse.has_value()) {
+  if (!aResponse.has_value()) {
+    mOwners.OnNoResponse(aWitness.control);
+    return;
+  }
+  if (aSession != mSession) {
     return;
   }
   std::string outcome = common::GetString(aResponse.assume_value(), "outcome");
--- a/src/process/sidecar/key_ownership.h
+++ b/src/process/sidecar/key_ownership.h
@@ -10,6 +10,7 @@
 #include "process/sidecar/grant_channel.h"
 #include "process/sidecar/key_handoffs.h"
 #include "process/sidecar/key_map_editor.h"
+#include "process/sidecar/owner_watch.h"
 #include "process/sidecar/upstream_gate.h"
 #include "version/key_plan.h"
 
@@ -28,7 +29,7 @@
 public:
   key_ownership(runtime& aRuntime, const upstream_codec& aCodec, key_map_editor& aEditor,
                 peer_messenger& aMessenger, upstream_gate& aGate, request::placement& aPlacement,
-                common::boot_id aBoot);
+                owner_watch& aOwners, common::boot_id aBoot);
 
   void OnAnnouncement(const announcement& aAnnouncement);
   // The grant that answers an announcement received at aHeardAt; empty when there is no session,
@@ -59,7 +60,10 @@
   // key_grantor
   bool HasSession() const override;
   std::vector<version::held_range> GrantableRanges() const override;
-  common::boot_time LeaseEnd() const override { return mLease.LeaseEnd(); }
+  common::boot_time LeaseEnd() const override
+  {
+    return std::min(mLease.LeaseEnd(), mOwners.LeaseEnd());
+  }
   void OnOthersExcluded() override;
   void OnReport(const key_report& aReport) override;
 
@@ -88,6 +92,7 @@
   peer_messenger& mMessenger;
   upstream_gate& mGate;
   request::placement& mPlacement;
+  owner_watch& mOwners;
   common::boot_id mBoot;
   lease::lease_terms mTerms;
   lease::lease_holder mLease;
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -143,27 +143,15 @@
   mEditor.Edit(
     aTakeover->service,
     [this, aTakeover](version::key_map& aMap) {
-      version::key_owner* lostOwner = aMap.Owner(aTakeover->owner.vm);
+      const version::key_owner* lostOwner = aMap.Owner(aTakeover->owner.vm);
       // The promises are valid only for this session and this witness set.
       if (lostOwner == nullptr || lostOwner->session != aTakeover->owner.session ||
           lostOwner->witnesses != aTakeover->owner.witnesses) {
         return false;
       }
-      std::vector<version::key_range> ranges = version::RangesOf(*lostOwner);
-      std::vector<version::successor> successors =
-        LeastUsedSuccessors(mRuntime, mPlacement, aMap, lostOwner->vm);
-      if (!ranges.empty() && successors.empty()) {
-        return false;
-      }
-      aMap.RemoveOwner(aTakeover->owner.vm);
-      aMap.lastFence = aMap.lastFence.Next();
-      if (ranges.empty()) {
-        return true;
-      }
-      for (const auto& part : version::AssignKeys(ranges, successors, nullptr)) {
-        version::AddRange(aMap.Owner(part.vm), { part.range, aMap.lastFence, "" });
-      }
-      return true;
+      return version::ReplaceOwner(
+        &aMap, aTakeover->owner.vm,
+        LeastUsedSuccessors(mRuntime, mPlacement, aMap, aTakeover->owner.vm));
     },
     [this, aTakeover](edit_outcome aOutcome) {
       mRuntime.log.Write(line_class::kState, "takeover", [&] {
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -164,7 +164,8 @@
   , mGossip(mRuntime, mMessenger, mConfig, mSuspects)
   , mPlatformSync(mRuntime, aPorts.store, mGossip, [this] { mBroadcast.BroadcastMember(mSelf); })
   , mEditor(mRuntime, aPorts.store, mBroadcast)
-  , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mBoot)
+  , mOwners(mRuntime, mGossip, mEditor, mPlacement)
+  , mKeys(mRuntime, aPorts.upstream, mEditor, mMessenger, mGate, mPlacement, mOwners, mBoot)
   , mTakeover(mRuntime, aPorts.store, mEditor, mMessenger, mPlacement, mBoot)
   , mRegistry(mRuntime, aPorts.upstream, mGate, mKeys, [this] { PublishMember(); })
   , mEntry{ mRuntime, mGate,    mPlacement, mFailureDetector, mNotices, mResponseTimes,
@@ -276,6 +277,7 @@
   mGate.Tick();
   mFailureDetector.Tick();
   mRegistry.Tick();
+  mOwners.Tick();
   mKeys.Tick();
   mTakeover.Tick();
   mPlatformSync.Tick();
--- a/src/process/sidecar/sidecar.h
+++ b/src/process/sidecar/sidecar.h
@@ -77,6 +77,7 @@
   gossip mGossip;
   platform_fleet_sync mPlatformSync;
   key_map_editor mEditor;
+  owner_watch mOwners;
   key_ownership mKeys;
   key_takeover mTakeover;
   upstream_registry mRegistry;
--- a/src/version/key_map.cpp
+++ b/src/version/key_map.cpp
@@ -38,11 +38,15 @@
   for (const held_range& range : aOwner.ranges) {
     ranges.push_back(EncodeRange(range));
   }
-  return { { "vm", aOwner.vm },
-           { "session", aOwner.session.Str() },
-           { "upstream", aOwner.upstream.Str() },
-           { "witnesses", std::move(witnesses) },
-           { "ranges", std::move(ranges) } };
+  common::json value = { { "vm", aOwner.vm },
+                         { "session", aOwner.session.Str() },
+                         { "upstream", aOwner.upstream.Str() },
+                         { "witnesses", std::move(witnesses) },
+                         { "ranges", std::move(ranges) } };
+  if (!aOwner.suspicion.Empty()) {
+    value["suspicion"] = aOwner.suspicion.Str();
+  }
+  return value;
 }
 
 bool DecodeOwner(const common::json& aValue, key_owner* aOwner)
@@ -50,6 +54,7 @@
   aOwner->vm = common::GetString(aValue, "vm");
   aOwner->session = common::session_id(common::GetString(aValue, "session"));
   aOwner->upstream = upstream_id(common::GetString(aValue, "upstream"));
+  aOwner->suspicion = suspicion_id(common::GetString(aValue, "suspicion"));
   for (const common::json& witness : common::GetArray(aValue, "witnesses")) {
     if (!witness.is_array() || witness.size() != 2 || !witness[0].is_string() ||
         !witness[1].is_string()) {
--- a/src/version/key_map.h
+++ b/src/version/key_map.h
@@ -29,6 +29,7 @@
 // The keys that are in both ranges; empty when there are none.
 std::optional<key_range> Intersection(const key_range& aLeft, const key_range& aRight);
 
+using suspicion_id = common::text_id<struct suspicion_id_tag>;
 using fencing_token = common::number_id<struct fence_tag>;
 
 // A range of keys that an owner's upstream holds, with its fencing token.
@@ -51,6 +52,9 @@
   common::session_id session;
   upstream_id upstream;
   std::vector<witness_ref> witnesses;
+  // Set by a daemon that finds the owner silent; the other owners may take the keys over some time
+  // later. Empty when the owner is not suspected.
+  suspicion_id suspicion;
   // In ascending order; disjoint from the ranges of the other owners.
   std::vector<held_range> ranges;
   bool operator==(const key_owner&) const = default;
--- a/src/version/key_plan.cpp
+++ b/src/version/key_plan.cpp
@@ -116,6 +116,24 @@
   return plan;
 }
 
+bool ReplaceOwner(key_map* aMap, const std::string& aLostVm,
+                  const std::vector<successor>& aSuccessors)
+{
+  const key_owner* lost = aMap->Owner(aLostVm);
+  std::vector<key_range> ranges = lost == nullptr ? std::vector<key_range>() : RangesOf(*lost);
+  if (lost == nullptr || (!ranges.empty() && aSuccessors.empty())) {
+    return false;
+  }
+  aMap->RemoveOwner(aLostVm);
+  aMap->lastFence = aMap->lastFence.Next();
+  if (!ranges.empty()) {
+    for (const key_assignment& part : AssignKeys(ranges, aSuccessors, nullptr)) {
+      AddRange(aMap->Owner(part.vm), { part.range, aMap->lastFence, "" });
+    }
+  }
+  return true;
+}
+
 std::vector<successor> LeastUsed(std::vector<successor> aSuccessors, size_t aMaximum)
 {
   std::stable_sort(
--- a/src/version/key_plan.h
+++ b/src/version/key_plan.h
@@ -28,6 +28,11 @@
                                        const std::vector<successor>& aSuccessors,
                                        const key_load* aLoad);
 
+// Removes a lost owner and divides its keys among the successors, with a new fencing token. Changes
+// nothing and returns false if it has keys and there are no successors.
+bool ReplaceOwner(key_map* aMap, const std::string& aLostVm,
+                  const std::vector<successor>& aSuccessors);
+
 // Chooses parts of aRanges to move that together have a load of about aTargetLoad: one narrow range
 // if there is one, else a few ranges with the most load. A key whose load alone exceeds aTargetLoad
 // by more than half is never chosen, but the keys next to it may be. Empty when no range without
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -21,6 +21,9 @@
 constexpr char kLogVariable[] = "BAMBOOGRADE_TEST_LOGS";
 constexpr char kDefaultNetwork[] = "127.0.9";
 
+// Last byte of the table service's address.
+constexpr unsigned kTableHost = 9;
+
 std::string Network()
 {
   const char* named = std::getenv(kNetworkVariable);
@@ -29,7 +32,7 @@
 
 std::string TableAddress()
 {
-  return Network() + ".9:7999";
+  return Network() + "." + std::to_string(kTableHost) + ":7999";
 }
 
 const char* GrantsText(process::sidecar::grant_method aGrants)
@@ -164,17 +167,24 @@
                              common::milliseconds aAnnouncePeriod,
                              process::sidecar::grant_method aGrants)
   : table(loop)
+  , mAnnouncePeriod(aAnnouncePeriod)
+  , mGrants(aGrants)
   , mClients(loop)
 {
   cr_assert(table.Listen(common::endpoint(TableAddress())).has_value());
   Configure(1);
-  unsigned number = 0;
   for (const std::string& service : aServices) {
-    vms.push_back(
-      std::make_unique<fleet_vm>(loop, ++number, service, aAnnouncePeriod, aGrants, record));
+    AddVm(service);
   }
 }
 
+void fleet_fixture::AddVm(const std::string& aService)
+{
+  auto number = unsigned(vms.size() + 1);
+  vms.push_back(std::make_unique<fleet_vm>(loop, number < kTableHost ? number : number + 1,
+                                           aService, mAnnouncePeriod, mGrants, record));
+}
+
 void fleet_fixture::Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix)
 {
   common::json routes = { { "keyed", Route("/keyed/", "safe", kKeyedService) },
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -99,6 +99,8 @@
     const std::vector<std::string>& aServices,
     common::milliseconds aAnnouncePeriod = common::milliseconds(100),
     process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse);
+  // Starts one more VM, at a new address.
+  void AddVm(const std::string& aService);
   void RunFor(common::milliseconds aTime);
   // Runs the event loop until the condition holds; fails the test after the timeout.
   void RunUntil(const std::function<bool()>& aCondition, common::milliseconds aTimeout,
@@ -124,6 +126,8 @@
   std::vector<std::unique_ptr<fleet_vm>> vms;
 
 private:
+  common::milliseconds mAnnouncePeriod;
+  process::sidecar::grant_method mGrants;
   connection::http::client_pool mClients;
   uint64_t mLastRequestId = 0;
 };
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -14,6 +14,8 @@
 constexpr common::milliseconds kStartTimeout{ 6000 };
 // Time limit for serving a key again after its owner has failed or left.
 constexpr common::milliseconds kTakeoverTimeout{ 4000 };
+// Time limit for serving keys again after their owners were lost together with their witnesses.
+constexpr common::milliseconds kRecoveryTimeout{ 15000 };
 constexpr common::milliseconds kAnnouncePeriod{ 100 };
 // The daemons' default for bounds.drain_ms.
 constexpr common::milliseconds kDrainTime{ 2000 };
@@ -40,6 +42,15 @@
   return aFleet.vms.size();
 }
 
+// Ends the first aCount VMs without notice.
+void LoseVms(fleet_fixture& aFleet, size_t aCount)
+{
+  for (size_t i = 0; i < aCount; ++i) {
+    aFleet.vms[i]->upstream->Crash();
+    aFleet.vms[i]->KillDaemon();
+  }
+}
+
 // Kills the daemon and waits until its next process accepts announcements.
 void RestartDaemon(fleet_fixture& aFleet, size_t aVm)
 {
@@ -181,6 +192,44 @@
   cr_assert_neq(HolderOf(fleet, 100), lost);
 }
 
+// Keys stayed unserved for good when their owner was lost together with two of its three witnesses.
+Test(fleet, keys_are_served_again_after_all_vms_were_replaced)
+{
+  fleet_fixture fleet({ "keyed", "keyed", "keyed", "keyed", "keyed", "keyed" });
+  WaitForKeys(fleet);
+  size_t lost = fleet.vms.size();
+  LoseVms(fleet, lost);
+  for (size_t i = 0; i < lost; ++i) {
+    fleet.AddVm("keyed");
+  }
+  fleet.RunUntil([&fleet] { return fleet.AllKeysHeld(); }, kRecoveryTimeout, "takeover");
+  for (uint32_t key : { 5U, 30000U, 60000U }) {
+    cr_assert(Serves(fleet, lost, key), "key %u", key);
+  }
+}
+
+Test(fleet, keys_are_served_again_after_an_owner_was_lost_with_most_of_its_witnesses)
+{
+  fleet_fixture fleet({ "keyed", "keyed", "keyed", "keyed", "keyed", "keyed", "keyed" });
+  WaitForKeys(fleet);
+  LoseVms(fleet, 5);
+  fleet.RunUntil([&fleet] { return fleet.AllKeysHeld(); }, kRecoveryTimeout, "takeover");
+}
+
+// Without the platform, the responses of the other owners confirm the lease.
+Test(fleet, serves_keys_in_a_long_outage_of_the_table_service)
+{
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  fleet.table.SetSilent(true);
+  for (int i = 0; i < 40; ++i) {
+    fleet.RunFor(common::milliseconds(400));
+    for (uint32_t key : { 5U, 30000U, 60000U }) {
+      cr_assert(Serves(fleet, 4, key), "key %u after %d ms", key, i * 400);
+    }
+  }
+}
+
 Test(fleet, keys_are_served_again_after_a_daemon_restart)
 {
   fleet_fixture fleet(kServices);
