--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -269,6 +269,23 @@
   cr_assert(Serves(fleet, 4, 100));
 }
 
+// Calls that are pending when connections to the platform go silent must not delay a later hand-off
+// for longer than their own deadlines.
+Test(fleet, keys_are_handed_off_after_calls_to_the_table_service_went_silent)
+{
+  fleet_fixture fleet(kServices);
+  WaitForKeys(fleet);
+  fleet.table.SetSilent(true);
+  fleet.RunFor(common::milliseconds(4000));
+  fleet.table.SetSilent(false);
+  size_t leaving = HolderOf(fleet, 100);
+  fleet.vms[leaving]->upstream->Leave();
+  fleet.RunUntil(
+    [&] { return fleet.vms[leaving]->upstream->HeldKeys() == 0 && fleet.AllKeysHeld(); },
+    kTakeoverTimeout, "hand-off");
+  cr_assert(Serves(fleet, 4, 100));
+}
+
 // A daemon that expects handed-off keys delays its response to the upstream's announcement until
 // they arrive. Without this, the keys of the first VM would wait a whole announcement period, as
 // the upstreams announce themselves at nearly the same time, in the order of their VMs.
