--- a/src/process/sidecar/owner_watch.cpp
+++ b/src/process/sidecar/owner_watch.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr common::milliseconds kTickPeriod{ 100 };
 // Period of messages to one random other owner.
 constexpr common::milliseconds kProbePeriod{ 1000 };
 // Period of messages to each silent or suspected owner.
@@ -55,6 +56,7 @@
   }
   mService = aService;
   mSession = aSession;
+  mTickAt = {};
 }
 
 common::json owner_watch::Report() const
@@ -144,6 +146,11 @@
 
 void owner_watch::Tick()
 {
+  common::boot_time now = mRuntime.Now();
+  if (now < mTickAt) {
+    return;
+  }
+  mTickAt = now + kTickPeriod;
   version::key_map_ptr map = KeyMap();
   const version::key_owner* own = map == nullptr ? nullptr : map->Owner(mRuntime.settings.vm);
   if (own == nullptr || mSession.Empty() || own->session != mSession) {
@@ -152,7 +159,7 @@
   ObserveSuspicions(*map);
   ConfirmLease(*map);
   ProbeOwners(*map);
-  if (mRuntime.Now() >= mEditAt && !mEditor.Busy() && mEditor.Healthy()) {
+  if (now >= mEditAt && !mEditor.Busy() && mEditor.Healthy()) {
     WithdrawSuspicions(*map);
     SuspectSilentOwners(*map);
     TakeOver(*map);
--- a/src/process/sidecar/owner_watch.h
+++ b/src/process/sidecar/owner_watch.h
@@ -19,7 +19,7 @@
               request::placement& aPlacement);
   // This daemon's session as an owner of the service's keys.
   void SetSession(const common::service_name& aService, const common::session_id& aSession);
-  // Must be called every few tens of milliseconds.
+  // Must be called often.
   void Tick();
   // Keys must not be granted beyond this time.
   common::boot_time LeaseEnd() const { return mLease.End(); }
@@ -82,6 +82,7 @@
   std::map<std::string, common::boot_time> mWithoutSession;
   std::map<std::string, common::boot_time> mStoppingSince;
   std::map<std::string, common::boot_time> mSuspectAgainAt;
+  common::boot_time mTickAt;
   common::boot_time mProbeAt;
   common::boot_time mSilentProbeAt;
   common::boot_time mAskPeersAt;
