--- a/src/process/sidecar/owner_watch.cpp
+++ b/src/process/sidecar/owner_watch.cpp
@@ -27,9 +27,9 @@
 constexpr common::milliseconds kAskPeersPeriod{ 800 };
 // A daemon that is no owner and has been silent or stopping for this long is taken as gone.
 constexpr common::milliseconds kGoneAfter{ 30000 };
-// Minimum time between two suspicions of the same owner by this daemon. If this daemon is cut off
-// from the others, they withdraw each one.
-constexpr common::milliseconds kSuspectAgainDelay{ 8000 };
+// Time after the withdrawal of a suspicion for which this daemon does not suspect the owner again.
+// A daemon that is cut off from running owners would repeat it at once.
+constexpr common::milliseconds kSuspectAgainDelay{ 4000 };
 // Random delay between the changes that several daemons want to make at the same time.
 constexpr uint64_t kEditJitterMs = 400;
 
@@ -172,13 +172,17 @@
     return;
   }
   mObservedMap = aMap.version;
+  common::boot_time now = mRuntime.Now();
   std::vector<version::suspicion_id> suspicions;
   for (const version::key_owner& owner : aMap.owners) {
     if (!owner.suspicion.Empty()) {
       suspicions.push_back(owner.suspicion);
+      mSuspected.insert(owner.vm);
+    } else if (mSuspected.erase(owner.vm) > 0) {
+      mSuspectAgainAt[owner.vm] = now + kSuspectAgainDelay;
     }
   }
-  mSuspicions.OnMap(suspicions, mRuntime.Now());
+  mSuspicions.OnMap(suspicions, now);
 }
 
 // VMs of the daemons that own keys or may become owners, except this one.
@@ -287,7 +291,6 @@
     if (owner.vm != mRuntime.settings.vm && owner.suspicion.Empty() && IsLost(owner) &&
         now >= mSuspectAgainAt[owner.vm]) {
       lost.push_back(owner);
-      mSuspectAgainAt[owner.vm] = now + kSuspectAgainDelay;
     }
   }
   Edit("owner_suspected", lost, [](version::key_map&, version::key_owner& aOwner) {
--- a/src/process/sidecar/owner_watch.h
+++ b/src/process/sidecar/owner_watch.h
@@ -81,6 +81,8 @@
   // Since when daemons have been responding without the session that the map names.
   std::map<std::string, common::boot_time> mWithoutSession;
   std::map<std::string, common::boot_time> mStoppingSince;
+  // VMs of the owners that were suspected in the last observed map.
+  std::set<std::string> mSuspected;
   std::map<std::string, common::boot_time> mSuspectAgainAt;
   common::boot_time mTickAt;
   common::boot_time mProbeAt;
