Count a crash once, and end wrong refusals by a trial

Cause: each broken connection counted as a crash. A refused request can't complete, so nothing cleared it; a cleared one stayed cleared for good; each gossip message renewed the entries, and the sidecar never removed any. Which end a fleet reached hung on whether an equal request completed before or after its gate had heard of the suspicion.

Change: a crash has an id, and a request is suspected of it once, whatever is merged in whatever order. A completion ends the suspicion of the crashes known by then. A refused request runs as a trial, one at a time in the fleet, after 2, 10 and 30 s. Expiry travels with an entry. Requests that wait at a gate when their like is refused are refused. request::gate counts crashes as well.

--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -61,6 +61,8 @@
 using operation_id = text_id<struct operation_id_tag>;
 using row_id = text_id<struct row_id_tag>;
 
+// Identifies one crash of an upstream, on all daemons.
+using crash_id = number_id<struct crash_id_tag>;
 // Position of a key in the 64-bit hash space.
 using key_hash = number_id<struct key_hash_tag>;
 // Fencing token of a slice; it rises with every change of owner.
--- a/src/process/gate_task.cpp
+++ b/src/process/gate_task.cpp
@@ -188,18 +188,18 @@
 
 void gate_task::SendEvent(request::gate_event&& aEvent)
 {
-  std::visit(
-    overloaded{
-      [this](request::probe_event&&) { SendProbe(); },
-      [this](request::upstream_lost_event&& aLost) {
-        mMailboxes.control.Send(upstream_lost{ std::move(aLost.cause), mGate.Suspects().Export() });
-      },
-      [this](auto&& aForWorker) {
-        request::request_token token = aForWorker.token;
-        SendToWorkerOf(token, std::forward<decltype(aForWorker)>(aForWorker));
-      },
-    },
-    std::move(aEvent));
+  std::visit(overloaded{
+               [this](request::probe_event&&) { SendProbe(); },
+               [this](request::upstream_lost_event&& aLost) {
+                 mMailboxes.control.Send(
+                   upstream_lost{ std::move(aLost.cause), mGate.Suspects().Export(mClock.Now()) });
+               },
+               [this](auto&& aForWorker) {
+                 request::request_token token = aForWorker.token;
+                 SendToWorkerOf(token, std::forward<decltype(aForWorker)>(aForWorker));
+               },
+             },
+             std::move(aEvent));
 }
 
 void gate_task::SendToWorkerOf(request::request_token aToken, worker_message aMessage)
@@ -215,7 +215,8 @@
     if (inFlight) {
       return false;
     }
-    slices_drained drained{ aMove.ranges, common::json::array(), mGate.Suspects().Export() };
+    slices_drained drained{ aMove.ranges, common::json::array(),
+                            mGate.Suspects().Export(mClock.Now()) };
     for (const version::slice_range& range : aMove.ranges) {
       drained.records.push_back(mGate.Ledger().Export(range, mClock.Now()));
     }
--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -164,7 +164,7 @@
     }
   }
   if (mContext.gate.Suspects().IsRefused(mFacts.fingerprint)) {
-    Reject("crash_suspect", common::microseconds(0));
+    PlaceTrial();
     return;
   }
   if (mFacts.key.has_value()) {
@@ -174,6 +174,47 @@
   }
 }
 
+void entry_request::PlaceTrial()
+{
+  runtime& process = mContext.process;
+  auto turn = mContext.gate.Suspects().TrialTurn(mFacts.fingerprint, process.Now());
+  // One that waited for the owner of its key is placed again.
+  bool hasRun = mOnTrial && !mFacts.key.has_value();
+  if (!turn.has_value() || hasRun) {
+    Reject("crash_suspect", common::microseconds(0));
+    return;
+  }
+  mOnTrial = true;
+  if (mFacts.key.has_value()) {
+    PlaceKeyed(process.fleet.KeyMap(mFacts.service));
+    return;
+  }
+  const version::route_config_ptr& config = process.fleet.Config();
+  const version::route_rule* route =
+    config->Find(HostOf(mExchange->Head()), PathOf(mExchange->Head()));
+  std::vector<std::string> vms;
+  for (const auto& item : process.fleet.Members().All()) {
+    const version::member& member = item.second;
+    bool ofRoute = route != nullptr &&
+                   std::any_of(route->services.begin(), route->services.end(),
+                               [&](const auto& aPart) { return aPart.service == member.service; });
+    if (ofRoute && !member.stopping) {
+      vms.push_back(member.vm);
+    }
+  }
+  const version::member* target =
+    process.fleet.Members().Find(request::ChooseTrialVm(vms, mFacts.fingerprint, *turn));
+  bool usable =
+    target != nullptr && target->Serves(target->service) && !mContext.notices.IsLeaving(*target);
+  if (!usable) {
+    Reject("crash_suspect", common::microseconds(0));
+    return;
+  }
+  mFacts.service = target->service;
+  mFacts.onlyIfFree = false;
+  StartAttempt(*target);
+}
+
 void entry_request::PlaceKeyed(const version::key_map_ptr& aMap)
 {
   const version::key_owner* owner = aMap == nullptr ? nullptr : aMap->Find(*mFacts.key);
@@ -350,7 +391,8 @@
 {
   boost::intrusive_ptr<entry_request> self(this);
   bool failed = mRelay.Status() >= kFirstServerError && !mRelay.Started();
-  if (failed && mFacts.idempotent && !mFacts.key.has_value() && TryTakeRetry()) {
+  bool mayRepeat = mFacts.idempotent && !mFacts.key.has_value() && !mOnTrial;
+  if (failed && mayRepeat && TryTakeRetry()) {
     mEarlierAttemptMayHaveRun = true;
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
@@ -402,9 +444,10 @@
   bool overloadedOwner =
     mFacts.key.has_value() && aRefusal.reason == request::attempt_refusal_reason::kOverloaded;
   // The placement search limits the number of gates to which a request without a key is offered.
-  bool tryAgain =
-    (searches || mRefusals <= kMaxRefusals) && now + kMinAttemptTime < mFacts.deadline &&
-    aRefusal.reason != request::attempt_refusal_reason::kCrashSuspect && !overloadedOwner;
+  bool tryAgain = (searches || mRefusals <= kMaxRefusals) &&
+                  now + kMinAttemptTime < mFacts.deadline && !mOnTrial &&
+                  aRefusal.reason != request::attempt_refusal_reason::kCrashSuspect &&
+                  !overloadedOwner;
   if (!tryAgain) {
     Reject(mLastRefusal.c_str(), std::max<common::microseconds>(mRetryAfter, kMinRetryAfter));
     return;
@@ -435,7 +478,7 @@
   mEarlierAttemptMayHaveRun = true;
   bool granted = mRetryGranted;
   mRetryGranted = false;
-  if (mFacts.idempotent && (granted || TryTakeRetry())) {
+  if (mFacts.idempotent && !mOnTrial && (granted || TryTakeRetry())) {
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [&] { return Describe("repeated", aFailure.reason); });
@@ -456,8 +499,8 @@
 {
   // Only the owner of a key can serve its requests, and a stopping daemon finishes its requests in
   // flight.
-  mRetryGranted =
-    !mContext.stopping && !mFacts.key.has_value() && !mRelay.Started() && TryTakeRetry();
+  mRetryGranted = !mContext.stopping && !mOnTrial && !mFacts.key.has_value() && !mRelay.Started() &&
+                  TryTakeRetry();
   return mRetryGranted;
 }
 
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -54,6 +54,8 @@
   void Place();
   void PlaceKeyed(const version::key_map_ptr& aMap);
   void PlaceAnywhere();
+  // Sends a crash suspect to the VM whose turn it is to run the trial, or rejects it.
+  void PlaceTrial();
   // Members with an upstream of the request's service, and the matching placement candidates by the
   // same index.
   std::vector<const version::member*> FindCandidates(
@@ -112,6 +114,8 @@
   std::string mLastRefusal;
   common::microseconds mRetryAfter{ 0 };
   bool mBodyTaken = false;
+  // The request runs as the trial of a crash suspect, at one upstream only.
+  bool mOnTrial = false;
   // The relay holds the server error of an upstream, to be returned if no retry gets a response.
   bool mHoldsFailedResponse = false;
   // A retry was taken from the budget before the attempt ended.
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -110,7 +110,7 @@
                         { "digest", Digest() },
                         { "config", mConfig.Version() } };
   if (!mSuspects.Empty()) {
-    body["suspects"] = mSuspects.Export();
+    body["suspects"] = mSuspects.Export(mRuntime.Now());
   }
   mMessenger.Send(
     aControl, kComparePath, body, mRuntime.Now() + kTimeout,
@@ -140,7 +140,7 @@
   common::json response = { { "from", mRuntime.settings.listen.control.Str() },
                             { "config", mConfig.Version() } };
   if (!mSuspects.Empty()) {
-    response["suspects"] = mSuspects.Export();
+    response["suspects"] = mSuspects.Export(mRuntime.Now());
   }
   if (mObserver != nullptr) {
     response["owners"] = mObserver->Report();
@@ -184,7 +184,14 @@
 // Reads the configuration version and the crash suspects in a peer's message.
 void gossip::OnPeerState(const common::json& aBody)
 {
-  mSuspects.Import(common::GetArray(aBody, "suspects"), mRuntime.Now());
+  auto changed = mSuspects.Import(common::GetArray(aBody, "suspects"), mRuntime.Now());
+  for (uint64_t fingerprint : changed) {
+    mRuntime.log.Write(line_class::kState, "crash_suspect_heard", [&] {
+      return common::json{ { "fingerprint", fingerprint },
+                           { "crashes", mSuspects.Crashes(fingerprint) },
+                           { "from", common::GetString(aBody, "from") } };
+    });
+  }
   mConfig.OnPeerVersion(common::GetNumber(aBody, "config"),
                         common::endpoint(common::GetString(aBody, "from")));
 }
--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -1,5 +1,7 @@
 #include "process/sidecar/upstream_gate.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 
 namespace bamboograde::process::sidecar {
@@ -45,13 +47,30 @@
 
 void upstream_gate::MarkCrashSuspects()
 {
-  for (uint64_t fingerprint : mBrokenRequests) {
-    unsigned crashes = mSuspects.Add(fingerprint, mRuntime.Now());
+  std::map<std::pair<version::upstream_incarnation, uint64_t>, size_t> inFlight;
+  for (const broken_request& broken : mBrokenRequests) {
+    ++inFlight[{ broken.incarnation, broken.fingerprint }];
+  }
+  mBrokenRequests.clear();
+  for (const auto& item : inFlight) {
+    const version::upstream_incarnation& incarnation = item.first.first;
+    uint64_t fingerprint = item.first.second;
+    common::crash_id crash(common::HashBytes(mRuntime.settings.vm + "\n" + incarnation.id.Str() +
+                                             "\n" + std::to_string(incarnation.startedMs)));
+    unsigned crashes = mSuspects.Add(fingerprint, crash, mRuntime.Now());
     mRuntime.log.Write(line_class::kState, "crash_suspect", [&] {
-      return common::json{ { "fingerprint", fingerprint }, { "crashes", crashes } };
+      return common::json{ { "fingerprint", fingerprint },
+                           { "upstream", incarnation.id.Str() },
+                           { "in_flight", item.second },
+                           { "crashes", crashes } };
     });
   }
-  mBrokenRequests.clear();
+}
+
+bool upstream_gate::RefusedAsSuspect(const request::request_facts& aFacts) const
+{
+  return mSuspects.IsRefused(aFacts.fingerprint) &&
+         !mSuspects.TrialTurn(aFacts.fingerprint, mRuntime.Now()).has_value();
 }
 
 void upstream_gate::StopAt(common::boot_time aTime, common::boot_time aExit)
@@ -140,7 +159,7 @@
 void upstream_gate::Submit(const request::request_facts& aFacts, gate_client* aClient)
 {
   common::boot_time now = mRuntime.Now();
-  if (mSuspects.IsRefused(aFacts.fingerprint)) {
+  if (RefusedAsSuspect(aFacts)) {
     Refuse(aClient, request::attempt_refusal_reason::kCrashSuspect);
     return;
   }
@@ -200,6 +219,11 @@
   mRuntime.counters.Add("bamboograde_upstream_requests_total");
   aEntry.admitted = true;
   aEntry.incarnation = mUpstreamIncarnation;
+  aEntry.onTrial = mSuspects.IsRefused(aEntry.facts.fingerprint);
+  if (aEntry.onTrial) {
+    mRuntime.counters.Add("bamboograde_crash_suspect_trials_total");
+    mSuspects.BeginTrial(aEntry.facts.fingerprint);
+  }
   aEntry.client->OnAdmitted();
 }
 
@@ -268,11 +292,7 @@
   request::admission_id id = found->second;
   mAdmission.OnFinished(id, aOutcome == upstream_outcome::kServed, mRuntime.Now());
   auto entry = mEntries.find(id);
-  if (aOutcome == upstream_outcome::kServed) {
-    mSuspects.Clear(entry->second.facts.fingerprint);
-  } else if (aOutcome == upstream_outcome::kBroken) {
-    mBrokenRequests.push_back(entry->second.facts.fingerprint);
-  }
+  NoteOutcome(entry->second, aOutcome);
   mEntries.erase(entry);
   mIdsByClient.erase(found);
   if (aOutcome == upstream_outcome::kRefused && mReady) {
@@ -284,6 +304,24 @@
   StartNext();
 }
 
+// Keeps what the end of a request says about crashes of the upstream.
+void upstream_gate::NoteOutcome(const admission_entry& aEntry, upstream_outcome aOutcome)
+{
+  common::boot_time now = mRuntime.Now();
+  uint64_t fingerprint = aEntry.facts.fingerprint;
+  if (aEntry.onTrial) {
+    mSuspects.EndTrial(fingerprint, aOutcome == upstream_outcome::kBroken, now);
+  }
+  if (aOutcome == upstream_outcome::kServed && mSuspects.Clear(fingerprint, now)) {
+    mRuntime.log.Write(line_class::kState, "crash_suspect_cleared", [&] {
+      return common::json{ { "fingerprint", fingerprint }, { "trial", aEntry.onTrial } };
+    });
+  }
+  if (aOutcome == upstream_outcome::kBroken) {
+    mBrokenRequests.push_back({ fingerprint, aEntry.incarnation, now });
+  }
+}
+
 void upstream_gate::StartNext()
 {
   common::boot_time now = mRuntime.Now();
@@ -294,9 +332,10 @@
   for (auto id = mAdmission.Next(now); id.has_value(); id = mAdmission.Next(now)) {
     admission_entry& next = mEntries[*id];
     gate_client* client = next.client;
-    // The key may have been moved or paused while the request was queued, or the daemon stops.
+    // The key may have been moved or paused while the request was queued, the daemon may stop, or
+    // an equal request may have become a crash suspect.
     bool resubmitted =
-      !EndsBeforeExit(next.facts) ||
+      !EndsBeforeExit(next.facts) || RefusedAsSuspect(next.facts) ||
       (next.facts.key.has_value() && StatusOf(*next.facts.key) != key_status::kHeld);
     if (resubmitted) {
       request::request_facts facts = next.facts;
@@ -375,6 +414,7 @@
 
 void upstream_gate::Tick()
 {
+  mSuspects.Expire(mRuntime.Now());
   RefuseQueued(mAdmission.TakeUnservable(mRuntime.Now()),
                request::attempt_refusal_reason::kOverloaded);
   if (Closed()) {
--- a/src/process/sidecar/upstream_gate.h
+++ b/src/process/sidecar/upstream_gate.h
@@ -110,9 +110,18 @@
     request::request_facts facts;
     request::admission_id id = 0;
     bool admitted = false;
+    // Runs as the trial of a crash suspect.
+    bool onTrial = false;
     // Incarnation of the upstream to which it was admitted.
     version::upstream_incarnation incarnation;
   };
+  // A request whose connection broke.
+  struct broken_request
+  {
+    uint64_t fingerprint = 0;
+    version::upstream_incarnation incarnation;
+    common::boot_time at;
+  };
   // A request that waits until its key is granted here or moved to another owner.
   struct parked_request
   {
@@ -147,8 +156,11 @@
   void RefuseQueued(const std::vector<request::admission_id>& aIds,
                     request::attempt_refusal_reason aReason);
   parked_request TakeParked();
-  // Marks requests whose connection broke since the last announcement as crash suspects.
+  // Marks requests whose connection broke recently as suspects of a crash of the upstream.
   void MarkCrashSuspects();
+  // Whether the request is a crash suspect that may not even run as a trial now.
+  bool RefusedAsSuspect(const request::request_facts& aFacts) const;
+  void NoteOutcome(const admission_entry& aEntry, upstream_outcome aOutcome);
 
   runtime& mRuntime;
   request::suspect_list& mSuspects;
@@ -171,8 +183,8 @@
   std::map<request::admission_id, admission_entry> mEntries;
   std::map<gate_client*, request::admission_id> mIdsByClient;
   std::vector<parked_request> mParked;
-  // Fingerprints of requests whose connection broke since the last announcement.
-  std::vector<uint64_t> mBrokenRequests;
+  // Since the upstream was last known to be running.
+  std::vector<broken_request> mBrokenRequests;
   version::key_load mKeyLoad;
   double mUtilization = 0;
 };
--- a/src/request/gate.cpp
+++ b/src/request/gate.cpp
@@ -1,5 +1,7 @@
 #include "request/gate.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 
 namespace bamboograde::request {
@@ -352,7 +354,7 @@
   mLastProgress = aNow;
   mFailuresInRow = 0;
   mSlots.OnCompleted();
-  mSuspects.Clear(aRequest.fingerprint);
+  mSuspects.Clear(aRequest.fingerprint, aNow);
   if (aRequest.nonIdempotent) {
     mLedger.FinishRan(aRequest.ticket, aResponse);
   }
@@ -418,9 +420,10 @@
 {
   mProbing = false;
   if (!aConnected) {
+    common::crash_id crash(common::HashBytes(mSession.Str() + "\n" + std::to_string(++mCrashes)));
     for (const broken_request& broken : mBrokenRequests) {
       if (broken.at + kCrashWindow > aNow) {
-        mSuspects.Add(broken.fingerprint, aNow);
+        mSuspects.Add(broken.fingerprint, crash, aNow);
       }
     }
     mBrokenRequests.clear();
--- a/src/request/gate.h
+++ b/src/request/gate.h
@@ -228,6 +228,8 @@
   std::vector<gate_request_ptr> mHeldSuspects;
   request_token mDispatchedSuspect;
   std::vector<broken_request> mBrokenRequests;
+  // Crashes of the upstream that this gate has seen.
+  uint64_t mCrashes = 0;
   common::boot_time mLastProgress;
   bool mProbing = false;
   unsigned mFailuresInRow = 0;
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -210,6 +210,68 @@
   cr_assert_not(last.refused);
 }
 
+// Each of several equal requests in flight at one crash counted as a crash, so that requests like
+// them were refused.
+Test(upstream_gate, equal_requests_in_flight_at_one_crash_are_admitted_afterwards)
+{
+  for (size_t count : { 1, 2, 6, 50 }) {
+    gate_fixture fixture;
+    fixture.upstream.slots = unsigned(count);
+    fixture.gate.OnUpstreamReady(fixture.upstream);
+    fixture.facts.fingerprint = 7;
+    std::vector<recording_client> clients(count);
+    for (recording_client& client : clients) {
+      fixture.gate.Submit(fixture.facts, &client);
+    }
+    // A refused connection shows the crash before the last requests have broken off.
+    for (size_t i = 0; i < count; ++i) {
+      cr_assert(clients[i].admitted);
+      fixture.gate.Finish(&clients[i], i + 1 == count / 2 ? upstream_outcome::kRefused
+                                                          : upstream_outcome::kBroken);
+    }
+    ++fixture.upstream.startedMs;
+    fixture.gate.OnUpstreamStarted(fixture.upstream);
+    fixture.gate.OnUpstreamReady(fixture.upstream);
+    cr_expect_eq(fixture.suspects.Crashes(7), 1U, "%zu in flight: %u", count,
+                 fixture.suspects.Crashes(7));
+    recording_client again;
+    fixture.gate.Submit(fixture.facts, &again);
+    cr_expect(again.admitted, "%zu in flight", count);
+    fixture.gate.Finish(&again, upstream_outcome::kServed);
+    cr_expect_not(fixture.suspects.IsSuspect(7));
+  }
+}
+
+// Of requests that were queued when their like was refused, one runs as the trial, once it is due.
+Test(upstream_gate, one_refused_request_at_a_time_runs_as_a_trial)
+{
+  gate_fixture fixture;
+  fixture.facts.fingerprint = 7;
+  recording_client running;
+  recording_client queued;
+  fixture.gate.Submit(fixture.facts, &running);
+  fixture.gate.Submit(fixture.facts, &queued);
+  common::boot_time before = fixture.base.runtime.Now() - common::milliseconds(2000);
+  fixture.suspects.Add(7, common::crash_id(1), before);
+  fixture.suspects.Add(7, common::crash_id(2), fixture.base.runtime.Now());
+  fixture.gate.Finish(&running, upstream_outcome::kBroken);
+  cr_assert(queued.refused && !queued.admitted);
+  fixture.suspects.Add(8, common::crash_id(1), before);
+  fixture.suspects.Add(8, common::crash_id(2), before);
+  fixture.facts.fingerprint = 8;
+  fixture.upstream.slots = 2;
+  fixture.gate.OnUpstreamReady(fixture.upstream);
+  recording_client trial;
+  recording_client other;
+  fixture.gate.Submit(fixture.facts, &trial);
+  fixture.gate.Submit(fixture.facts, &other);
+  cr_assert(trial.admitted && other.refused);
+  fixture.gate.Finish(&trial, upstream_outcome::kServed);
+  recording_client afterwards;
+  fixture.gate.Submit(fixture.facts, &afterwards);
+  cr_assert(afterwards.admitted);
+}
+
 // A request whose connection to the upstream took long was sent as soon as it was established.
 Test(upstream_gate, a_request_is_not_sent_on_a_connection_established_after_the_closing_time)
 {
