Notice a crash although an announcement from before it arrives late

An announcement that the upstream had sent before it crashed, and that was read after its connections had broken, made the gate forget which requests had been running, so that none became a suspect of the crash. Broken connections are now forgotten only by an announcement that comes a period or more after them.

--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -42,7 +42,10 @@
 {
   mAdmission.SetSlots(aAnnouncement.slots);
   mReady = true;
-  mBrokenRequests.clear();
+  // The announcement may have been sent before a crash that has just broken connections.
+  common::boot_time end = mRuntime.Now() - mRuntime.settings.announcePeriod;
+  std::erase_if(mBrokenRequests,
+                [end](const broken_request& aBroken) { return aBroken.at <= end; });
 }
 
 void upstream_gate::MarkCrashSuspects()
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -242,6 +242,36 @@
   }
 }
 
+// An announcement from before the crash that arrived after it made the gate forget what was
+// running.
+Test(upstream_gate, a_crash_is_noticed_although_an_announcement_from_before_arrives_late)
+{
+  gate_fixture fixture;
+  fixture.facts.fingerprint = 7;
+  recording_client client;
+  fixture.gate.Submit(fixture.facts, &client);
+  fixture.gate.Finish(&client, upstream_outcome::kBroken);
+  fixture.gate.OnUpstreamReady(fixture.upstream);
+  ++fixture.upstream.startedMs;
+  fixture.gate.OnUpstreamStarted(fixture.upstream);
+  cr_assert_eq(fixture.suspects.Crashes(7), 1U);
+}
+
+Test(upstream_gate, a_connection_that_breaks_without_a_crash_makes_no_suspect)
+{
+  gate_fixture fixture;
+  fixture.base.settings.announcePeriod = common::milliseconds(20);
+  fixture.facts.fingerprint = 7;
+  recording_client client;
+  fixture.gate.Submit(fixture.facts, &client);
+  fixture.gate.Finish(&client, upstream_outcome::kBroken);
+  fixture.RunFor(common::milliseconds(40));
+  fixture.gate.OnUpstreamReady(fixture.upstream);
+  ++fixture.upstream.startedMs;
+  fixture.gate.OnUpstreamStarted(fixture.upstream);
+  cr_assert_not(fixture.suspects.IsSuspect(7));
+}
+
 // Of requests that were queued when their like was refused, one runs as the trial, once it is due.
 Test(upstream_gate, one_refused_request_at_a_time_runs_as_a_trial)
 {
