Do not suspect requests that a planned exit has cut

An upstream that exits after its drain time breaks the connections of requests that outlast it. At the next incarnation they became crash suspects. They are left out from the end of the drain time on. Before: the new test finds a suspect.

--- a/src/process/sidecar/upstream_gate.cpp
+++ b/src/process/sidecar/upstream_gate.cpp
@@ -320,7 +320,10 @@
       return common::json{ { "fingerprint", fingerprint }, { "trial", aEntry.onTrial } };
     });
   }
-  if (aOutcome == upstream_outcome::kBroken) {
+  // An upstream that leaves ends its connections after the drain time.
+  bool mayBeCrash = aOutcome == upstream_outcome::kBroken &&
+                    (aEntry.incarnation != mUpstreamIncarnation || now < mDrainedAt);
+  if (mayBeCrash) {
     mBrokenRequests.push_back({ fingerprint, aEntry.incarnation, now });
   }
 }
--- a/tests/process/sidecar/upstream_gate_test.cpp
+++ b/tests/process/sidecar/upstream_gate_test.cpp
@@ -272,6 +272,21 @@
   cr_assert_not(fixture.suspects.IsSuspect(7));
 }
 
+// A planned stop ends the requests that outlast the drain time.
+Test(upstream_gate, an_upstream_that_exits_after_its_drain_time_makes_no_suspect)
+{
+  gate_fixture fixture;
+  fixture.base.settings.bounds.drain = upstream_gate::kDrainMargin;
+  fixture.facts.fingerprint = 7;
+  recording_client client;
+  fixture.gate.Submit(fixture.facts, &client);
+  fixture.gate.OnUpstreamLeaving();
+  fixture.gate.Finish(&client, upstream_outcome::kBroken);
+  ++fixture.upstream.startedMs;
+  fixture.gate.OnUpstreamStarted(fixture.upstream);
+  cr_assert_not(fixture.suspects.IsSuspect(7));
+}
+
 // Of requests that were queued when their like was refused, one runs as the trial, once it is due.
 Test(upstream_gate, one_refused_request_at_a_time_runs_as_a_trial)
 {
