Recognize a large crashing request however its body arrives

The fingerprint held the part of the body that had arrived when the request was placed. It now holds the first 64 KiB, which have always arrived by then, and the declared length.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -50,6 +50,19 @@
   return target.substr(0, target.find('?'));
 }
 
+// Covers the part of the body that has arrived whenever a request is placed, so that it does not
+// depend on the pieces in which the body arrives.
+uint64_t Fingerprint(const common::service_name& aOrigin,
+                     const connection::http::request_head& aHead, const std::string& aBody)
+{
+  std::string text = aOrigin.Str() + "\n" + aHead.method + "\n" + aHead.target + "\n";
+  if (aHead.body.framing == connection::http::body_framing::kLength) {
+    text += std::to_string(aHead.body.length) + "\n";
+  }
+  text.append(aBody, 0, request_body::kMaxBufferedBytes);
+  return common::HashBytes(text);
+}
+
 } // namespace
 
 entry_request::entry_request(entry_context& aContext,
@@ -154,9 +167,7 @@
   if (!mBodyTaken) {
     mBodyTaken = true;
     const connection::http::request_head& head = mExchange->Head();
-    std::string body = mBody.Take();
-    mFacts.fingerprint = common::HashBytes(mFacts.origin.Str() + "\n" + head.method + "\n" +
-                                           head.target + "\n" + body);
+    mFacts.fingerprint = Fingerprint(mFacts.origin, head, mBody.Take());
     if (!mBody.Whole()) {
       // The body is streamed and can not be sent again: the first refusal or failure is final.
       mMaxAttempts = 1;
--- a/tests/platform/crash_suspect_test.cpp
+++ b/tests/platform/crash_suspect_test.cpp
@@ -173,3 +173,34 @@
   cr_assert_leq(crashes.Late(), kMaxLateCrashes, "%zu crashes, %zu late", crashes.All(),
                 crashes.Late());
 }
+
+// The fingerprint of a large request held the part of its body that had arrived when it was placed,
+// so that it differed from one retry to the next.
+Test(crash_suspect, a_large_crashing_request_is_recognized_however_its_body_arrives)
+{
+  constexpr milliseconds kDuration{ 12000 };
+  constexpr size_t kFirstPiece = 70000;
+  constexpr size_t kStep = 1999;
+  const std::string body(100000, 'b');
+  crash_fleet fleet;
+  crash_counter crashes(fleet);
+  common::boot_time start = fleet.loop.Now();
+  for (size_t number = 0; fleet.loop.Now() < start + kDuration; ++number) {
+    size_t piece = kFirstPiece + number % 15 * kStep;
+    auto crashing =
+      fleet.StartRequest(number % fleet.vms.size(), "POST", kCrashing, "", body, piece);
+    fleet.RunFor(milliseconds(30));
+    if (!crashing->done) {
+      crashing->call->SendBody(std::string_view(body).substr(piece));
+      crashing->call->FinishBody();
+    }
+    fleet.RunUntil([&crashing] { return crashing->done; }, 2 * fleet_fixture::kRequestTimeout,
+                   "a response");
+    crashes.Update();
+    fleet.RunFor(milliseconds(100));
+  }
+  cr_log_info("%zu crashes, %zu late", crashes.All(), crashes.Late());
+  cr_assert_geq(crashes.All(), 2U);
+  cr_assert_leq(crashes.Late(), kMaxLateCrashes, "%zu crashes, %zu late", crashes.All(),
+                crashes.Late());
+}
