Take no number of late announcements for a ready upstream

Cause: a second announcement confirmed an upstream; the negative answer of the health path was dropped, and the question asked only once.

Change: for 10 s after the start of a daemon only a positive answer of the health path confirms, asked again 250 ms after every other one. Later announcements were sent after the start, and confirm by themselves, so that a wrong health path leaves no upstream out for good.

Before, an_upstream_that_left_is_not_used_after_any_number_of_late_announce- ments fails.

--- a/src/process/sidecar/upstream_probe.h
+++ b/src/process/sidecar/upstream_probe.h
@@ -1,4 +1,7 @@
 // Asks the local upstream whether it is ready, at the health path of its service.
+//
+// An upstream that is leaving, starting or full answers that it is not ready, so the question is
+// repeated.
 #pragma once
 
 #include "process/sidecar/runtime.h"
@@ -15,9 +18,9 @@
 
   // Drops a question in progress, so that the next Ask() starts a new one.
   void Cancel();
-  // Asks once; no effect while the service's health path is not known or after the question was
-  // sent. An answer after aDeadline does not count.
-  void Ask(const announcement& aUpstream, common::boot_time aDeadline);
+  // No effect while the service's health path is not known, while a question is in progress or soon
+  // after its end.
+  void Ask(const announcement& aUpstream);
 
 private:
   // call_observer
@@ -26,13 +29,17 @@
   void OnCallEnd() override;
   void OnCallFailed(const connection::http::call_error& aError) override;
 
+  void End(const char* aAnswer);
+
   runtime& mRuntime;
   const upstream_codec& mCodec;
   std::function<void()> mOnReady;
+  // Ends a question without an answer.
   connection::http::loop_timer mTimer;
   connection::http::client_call_ptr mCall;
   version::upstream_id mUpstream;
-  bool mAsked = false;
+  common::boot_time mAskableAt;
+  int mStatus = 0;
   bool mReady = false;
 };
 
--- a/src/process/sidecar/upstream_registry.cpp
+++ b/src/process/sidecar/upstream_registry.cpp
@@ -26,6 +26,7 @@
   , mKeys(aKeys)
   , mOnChange(std::move(aOnChange))
   , mProbe(aRuntime, aCodec, [this] { OnConfirmedByProbe(); })
+  , mFreshFrom(aRuntime.Now() + kMaxAnnouncementDelay)
   , mDeferralTimer(aRuntime.loop, [this] { AcknowledgeDeferred(); })
 {
   mGate.SetLeavingObserver([this] {
@@ -129,10 +130,11 @@
                            { "sequence", received.sequence } };
     });
     mGate.OnUpstreamStarted(received);
-    mConfirmableAt = mHeardAt + mRuntime.settings.announcePeriod / 2;
     mProbe.Cancel();
-  } else {
-    mConfirmed = mConfirmed || mHeardAt >= mConfirmableAt;
+  }
+  if (!mConfirmed && mHeardAt >= mFreshFrom) {
+    mConfirmed = true;
+    LogConfirmed("announcement");
   }
   if (mLeaving) {
     mGate.OnUpstreamLeaving();
@@ -202,15 +204,15 @@
 
 void upstream_registry::AskForConfirmation()
 {
-  common::boot_time deadline = mHeardAt + mRuntime.settings.announcePeriod;
-  if (mRuntime.Now() < deadline) {
-    mProbe.Ask(mCurrent, deadline);
+  if (mRuntime.Now() <= SilentFrom()) {
+    mProbe.Ask(mCurrent);
   }
 }
 
 void upstream_registry::OnConfirmedByProbe()
 {
   mConfirmed = true;
+  LogConfirmed("probe");
   if (!mLeaving) {
     mGate.OnUpstreamReady(mCurrent);
     SetState(version::upstream_state::kReady);
@@ -242,6 +244,20 @@
   });
 }
 
+void upstream_registry::LogConfirmed(const char* aEvidence)
+{
+  mRuntime.log.Write(line_class::kState, "upstream_confirmed", [&] {
+    return common::json{ { "upstream", mCurrent.id.Str() },
+                         { "evidence", aEvidence },
+                         { "sequence", mCurrent.sequence } };
+  });
+}
+
+common::boot_time upstream_registry::SilentFrom() const
+{
+  return mHeardAt + mRuntime.settings.announcePeriod * kMaxSilentPeriods;
+}
+
 void upstream_registry::SetState(version::upstream_state aState)
 {
   if (mState == aState) {
@@ -260,8 +276,7 @@
     // The configuration with the health path may have arrived since the announcement.
     AskForConfirmation();
   }
-  bool silent = mState != version::upstream_state::kAbsent &&
-                mRuntime.Now() > mHeardAt + mRuntime.settings.announcePeriod * kMaxSilentPeriods;
+  bool silent = mState != version::upstream_state::kAbsent && mRuntime.Now() > SilentFrom();
   if (silent) {
     mGate.OnUpstreamLost();
     mKeys.HandOffAllKeys();
--- a/src/process/sidecar/upstream_registry.h
+++ b/src/process/sidecar/upstream_registry.h
@@ -37,10 +37,13 @@
   void StartLeaving();
   // State of the upstream by its last announcement.
   version::upstream_state CurrentState() const;
-  // Asks the upstream whether it is ready, unless its last announcement is too old.
+  // Asks the upstream whether it is ready, unless it is silent.
   void AskForConfirmation();
   void OnConfirmedByProbe();
   void LogLeaving(const version::upstream_id& aId, const char* aMessage);
+  void LogConfirmed(const char* aEvidence);
+  // When the upstream counts as silent unless it announces itself.
+  common::boot_time SilentFrom() const;
   void SetState(version::upstream_state aState);
   bool IsStale(const announcement& aAnnouncement) const;
 
@@ -58,8 +61,9 @@
   // upstream whose shutdown a former process of this daemon has acknowledged.
   bool mConfirmed = false;
   upstream_probe mProbe;
-  // From this time on, a newer announcement confirms an upstream that does not answer the probe.
-  common::boot_time mConfirmableAt;
+  // Announcements that arrive from this time on were sent after the start of this process, so they
+  // confirm an upstream that does not answer the probe.
+  common::boot_time mFreshFrom;
   // Upstreams that deregistered without having been known, and until when their announcements are
   // taken for late ones.
   std::map<version::upstream_id, common::boot_time> mGoneUntil;
