--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/standins-2/*.cpp; do
-  name=$(basename "$source" .cpp)
+for source in review/standins-2/*.cc; do
+  name=$(basename "$source" .cc)
   echo "g++ $name"
   "${CXX:-g++}" -std=c++20 -O1 -pthread -o "target/review-2/$name" "$source"
 done
--- a/review/standins-2/pipelined.cpp
+++ b/review/standins-2/pipelined.cc
@@ -1,6 +1,6 @@
 // Clients that send a second safe request before the first is answered, while one server breaks
 // off a few of its answers.
-#include "harness.h"
+#include "harness.hh"
 
 #include <set>
 
--- a/review/standins-2/sharded.cpp
+++ b/review/standins-2/sharded.cc
@@ -1,6 +1,6 @@
 // A service that is divided by key, whose daemons are stopped and started in turn as planned, and
 // all killed once in the end.
-#include "harness.h"
+#include "harness.hh"
 
 #include <cmath>
 #include <algorithm>
--- a/review/standins-2/slow_reader.cpp
+++ b/review/standins-2/slow_reader.cc
@@ -1,5 +1,5 @@
 // Clients that read a large answer slowly while the daemon of their machine is stopped as planned.
-#include "harness.h"
+#include "harness.hh"
 
 using namespace harness;
 
--- a/review/standins-2/uploads.cpp
+++ b/review/standins-2/uploads.cc
@@ -1,5 +1,5 @@
 // Uploads that wait for a slot while the daemon of their machine is stopped as planned.
-#include "harness.h"
+#include "harness.hh"
 
 using namespace harness;
 
