--- a/review/standins-2/sharded.cc
+++ b/review/standins-2/sharded.cc
@@ -18,7 +18,7 @@
 constexpr int64_t kWorkMs[kServers] = { 267, 160, 114 };
 constexpr int64_t kDeadlineMs = 1200;
 constexpr int kHeartbeatMs = 870;
-constexpr double kPerSecond = 72;
+constexpr double kPerSecond = 82;
 constexpr double kSkew = 0.9;
 constexpr uint32_t kThings = 60000;
 constexpr uint32_t kFirstBusyKey = 26768;
@@ -32,7 +32,7 @@
 constexpr unsigned kStops = 45;
 // The stops end at the latest then, or once an acknowledgement has become this large.
 constexpr double kLastStopAt = 74;
-constexpr size_t kEnoughAckBytes = 4160;
+constexpr size_t kEnoughAckBytes = 4100;
 // All daemons are killed this long after the last stop.
 constexpr double kCalm = 6;
 constexpr double kDownTime = 1.2;
