--- a/review/standins-2/harness.hh
+++ b/review/standins-2/harness.hh
@@ -3,8 +3,10 @@
 // connection. Independent of the code under review.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
+#include <cctype>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
--- a/review/standins-2/sharded.cc
+++ b/review/standins-2/sharded.cc
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <algorithm>
+#include <array>
 #include <deque>
 
 using namespace harness;
