Reject responses with a status that HTTP does not define

Callers saw: a status line "HTTP/1.1 0 <unknown-status>" with the upstream's stamp and body, for an upstream that answered with status 000. Through another daemon they got 502, since that daemon could not read the line.

Cause: Beast checks that a status has three digits, not its value, and no code of the project did. The status went on as a number, and the serializer wrote it without leading zeros. The attempt counted as served, since the only check was "below 500": it cleared a crash suspicion and counted in the upstream's speed.

Change: the response parser rejects statuses outside of 100 to 599 (RFC 9110, section 15), as it does any other malformed head. All its users (own upstream, peers, store, health checks, calls about keys) then see a failed call whose effect is unknown; callers get 502 or, for idempotent requests, a retry. A status without a registered meaning in a defined class is still passed on. Libsoup, on which bamboograded and the tools are based, rejects values below 100 by itself and passes on 600 and more; http_client now reports these as broken.

--- a/src/connection/http/message.h
+++ b/src/connection/http/message.h
@@ -73,6 +73,12 @@
   bool keepAlive = true;
 };
 
+// Whether the status belongs to one of the classes of HTTP, 1xx to 5xx (RFC 9110, section 15).
+constexpr bool IsDefinedStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 // The standard reason phrase of a status.
 std::string_view ReasonPhrase(int aStatus);
 
--- a/src/connection/http/message_parser.cpp
+++ b/src/connection/http/message_parser.cpp
@@ -202,8 +202,11 @@
                        beast_code&) override
   {
   }
-  void on_response_impl(int aStatus, beast::string_view, int, beast_code&) override
+  void on_response_impl(int aStatus, beast::string_view, int, beast_code& aCode) override
   {
+    if (!IsDefinedStatus(aStatus)) {
+      aCode = beast::http::error::bad_status;
+    }
     mHead.status = aStatus;
   }
 };
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,5 +1,7 @@
 #include "connection/http_client.h"
 
+#include "connection/http/message.h"
+
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -50,6 +52,12 @@
   }
 }
 
+// Libsoup accepts some heads that HTTP does not allow.
+bool HasValidHead(const http_response& aResponse)
+{
+  return http::IsDefinedStatus(aResponse.status);
+}
+
 } // namespace
 
 http_call::~http_call()
@@ -128,6 +136,9 @@
   if (body != nullptr) {
     CopyResponse(self->mMessage, body, &result.response);
     g_bytes_unref(body);
+    if (!HasValidHead(result.response)) {
+      result = { transport_failure::kBroken, {} };
+    }
   } else {
     result.failure = self->ToFailure(error);
     g_error_free(error);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -22,7 +22,7 @@
   kTimeout,
   // The request was cancelled through http_call::Cancel().
   kCancelled,
-  // The connection was lost; the server may have executed the request.
+  // The connection was lost or the response is not HTTP; the server may have executed the request.
   kBroken,
 };
 
--- a/tests/connection/http/message_parser_test.cpp
+++ b/tests/connection/http/message_parser_test.cpp
@@ -41,6 +41,14 @@
   return FeedInSteps(parser, aText, aText.size(), sink, &rest);
 }
 
+parse_status ParseResponse(std::string_view aText, size_t aStep)
+{
+  response_parser parser({}, false);
+  recording_sink sink;
+  std::string rest;
+  return FeedInSteps(parser, aText, aStep, sink, &rest);
+}
+
 } // namespace
 
 Test(message_parser, parses_a_request_split_at_any_step)
@@ -169,3 +177,29 @@
     cr_assert_not(parser.CompleteAtEof(), "%s", text);
   }
 }
+
+// RFC 9110, section 15: the status is a three-digit integer from 100 to 599.
+Test(message_parser, rejects_a_status_that_http_does_not_define)
+{
+  for (const char* status : { "000", "001", "007", "099", "600", "700", "999", "99", "7", "1000",
+                              "-20", "+20", " 20", "2x0", "" }) {
+    std::string text = "HTTP/1.1 " + std::string(status) + " Reason\r\nContent-Length: 2\r\n\r\nok";
+    for (size_t step : { size_t(1), text.size() }) {
+      cr_expect_eq(ParseResponse(text, step), parse_status::kMalformed, "\"%s\"", status);
+    }
+  }
+}
+
+// A status without a registered meaning is that of its class.
+Test(message_parser, accepts_any_status_of_the_defined_classes)
+{
+  for (int status = 100; status < 600; ++status) {
+    std::string text =
+      "HTTP/1.1 " + std::to_string(status) + " Reason\r\nContent-Length: 0\r\n\r\n";
+    response_parser parser({}, false);
+    recording_sink sink;
+    std::string rest;
+    cr_expect_eq(FeedInSteps(parser, text, text.size(), sink, &rest), parse_status::kComplete);
+    cr_expect_eq(parser.Head().status, status);
+  }
+}
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -18,6 +18,26 @@
   return request;
 }
 
+// Reads one request and responds with these bytes. A client that has given up may leave a
+// connection open on which nothing comes.
+void Respond(int aFd, const std::string& aResponse)
+{
+  timeval limit{ 1, 0 };
+  setsockopt(aFd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  if (raw_server::ReadRequest(aFd)) {
+    raw_server::Write(aFd, aResponse);
+  }
+}
+
+// Result of a request whose response is these bytes, followed by the end of the connection.
+connection::http_result ResultOf(const std::string& aResponse)
+{
+  raw_server server([&](int aFd) { Respond(aFd, aResponse); });
+  tests::loop_fixture loop;
+  connection::http_client client({});
+  return loop.Send(client, RequestTo(server.Authority()));
+}
+
 } // namespace
 
 Test(http_client, refused_connection_is_reported_as_not_connected)
@@ -93,3 +113,20 @@
   }
   cr_assert_eq(server.Accepted(), 1);
 }
+
+Test(http_client, a_status_that_http_does_not_define_is_broken)
+{
+  for (const char* status :
+       { "000", "001", "099", "600", "700", "999", "99", "7", "1000", "-20", "+20", "2x0" }) {
+    auto result =
+      ResultOf("HTTP/1.1 " + std::string(status) + " Reason\r\nContent-Length: 2\r\n\r\nok");
+    cr_expect(result.failure == transport_failure::kBroken, "%s: failure %d, status %d", status,
+              int(result.failure), result.response.status);
+  }
+  for (int status : { 200, 299, 399, 404, 499, 599 }) {
+    auto result =
+      ResultOf("HTTP/1.1 " + std::to_string(status) + " Reason\r\nContent-Length: 2\r\n\r\nok");
+    cr_expect(result.Ok(), "%d: failure %d", status, int(result.failure));
+    cr_expect_eq(result.response.status, status);
+  }
+}
