Report a connection whose reset was met by a write as reset

Callers saw: part of a body as a complete 200, with its length, when an upstream answered an upload at once without a length, sent a part and reset the connection. 5 of 5 uploads of 45 MB that the upstream did not read, at its own daemon and through a peer; of uploads that are written slowly some.

Cause: a socket reports its error once. While output waits, the writable event is handled first, or a body is written meanwhile: send() takes ECONNRESET, Flush() ignored it because Read() was to meet it as well, and recv() then returns 0, as after a FIN. Without a length, the end of the connection in order completes a body. The timeout that the kernel puts on unacknowledged output (3 s) ended the same way.

Change: tcp_stream keeps that send() has failed and reports the end as an error. EPIPE is left out, because the kernel uses it when the reset follows a FIN: such a body has ended in order, and stays complete. A message whose end is in its bytes does not depend on this. The stream is the only place of connection/http that reads a socket, so that upstreams, peers, store and health checks are covered.

--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -181,7 +181,7 @@
     if (count < 0 && errno == EAGAIN) {
       return;
     }
-    End(count == 0 ? stream_end::kEof : stream_end::kError);
+    End(count == 0 && !mFailed ? stream_end::kEof : stream_end::kError);
   }
 }
 
@@ -216,8 +216,10 @@
       continue;
     }
     if (count < 0) {
-      // Output continues when the socket is writable. Errors other than EAGAIN also occur in
-      // Read(), which reports them.
+      // Output continues when the socket is writable, and Read() reports the end of the connection.
+      // An error that send() returns is cleared, so that recv() returns 0 as after a FIN. A reset
+      // that follows a FIN is EPIPE here: what was received is complete.
+      mFailed = mFailed || (errno != EAGAIN && errno != EPIPE);
       mAboveHighWater = mAboveHighWater || PendingBytes() > kHighWaterMarkBytes;
       UpdateWatch();
       return;
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -95,6 +95,8 @@
   uint64_t mSentBytes = 0;
   bool mReadPaused = false;
   bool mEnded = false;
+  // The connection was reset or timed out, as send() has reported.
+  bool mFailed = false;
   bool mShutdownPending = false;
   bool mAboveHighWater = false;
   std::string mInput;
--- a/tests/connection/http/client_pool_test.cpp
+++ b/tests/connection/http/client_pool_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr common::milliseconds kLoopTime{ 20 };
 constexpr size_t kBlockBytes = size_t(64) * 1024;
+constexpr size_t kUploadBytes = size_t(32) * 1024 * 1024;
 // A daemon whose loop is later than this logs it.
 constexpr common::milliseconds kLongestDelay{ 250 };
 
@@ -84,6 +85,27 @@
     base.RunFor(kLoopTime);
     return call;
   }
+  // Sends a request with a body that the sockets do not hold, so that output waits in the pool.
+  client_call_ptr Upload(recording_observer* aObserver, body_framing aFraming)
+  {
+    request_head head;
+    head.method = "POST";
+    head.target = "/";
+    head.headers.Add("Host", "h");
+    head.body = { aFraming, kUploadBytes };
+    client_call_ptr call = pool.Send(peer.Address(), head, std::string(kUploadBytes, 'x'), false,
+                                     base.Loop().Now() + common::milliseconds(500), aObserver);
+    base.RunFor(kLoopTime * 5);
+    cr_assert(call->Congested());
+    return call;
+  }
+  void Reset()
+  {
+    linger abort{ 1, 0 };
+    setsockopt(peer.fds[0], SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    close(peer.fds[0]);
+    peer.fds.erase(peer.fds.begin());
+  }
   // Reads the request before closing, since closing with unread input would reset the connection.
   void CloseFirst()
   {
@@ -103,6 +125,7 @@
   raw_peer peer;
 };
 
+constexpr char kInformational[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -313,3 +336,122 @@
   cr_assert_eq(observer.ends, 1);
   cr_assert_eq(observer.status, 200);
 }
+
+// A body that ends with its connection is complete only if the connection ends in order.
+Test(client_pool, a_response_without_length_that_is_reset_during_an_upload_is_a_failure)
+{
+  for (body_framing framing : { body_framing::kLength, body_framing::kChunked }) {
+    for (const char* response : { "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n" }) {
+      for (const char* before : { "", kInformational }) {
+        // Whether the response is read before the reset arrives.
+        for (bool readFirst : { false, true }) {
+          client_fixture fixture;
+          recording_observer observer;
+          auto call = fixture.Upload(&observer, framing);
+          http_fixture::Send(fixture.peer.fds[0], std::string(before) + response);
+          if (readFirst) {
+            fixture.base.RunFor(kLoopTime);
+          }
+          fixture.Reset();
+          fixture.base.RunFor(kLoopTime);
+          cr_expect_eq(observer.ends, 0, "%s%s, read first %d", before, response, readFirst);
+          cr_expect_eq(observer.failures, 1);
+          cr_expect(observer.error.failure == call_failure::kUnknown);
+          cr_expect(observer.error.refused);
+        }
+      }
+    }
+  }
+}
+
+// The error is first seen by a write of the call rather than by an event of the connection.
+Test(client_pool, a_reset_that_a_write_meets_is_a_failure)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  request_head head;
+  head.method = "POST";
+  head.target = "/";
+  head.body = { body_framing::kLength, kUploadBytes };
+  auto call = fixture.pool.Send(fixture.peer.Address(), head, "begin", false,
+                                fixture.base.Loop().Now() + kLoopTime * 10, &observer);
+  fixture.base.RunFor(kLoopTime);
+  fixture.Respond(0, "HTTP/1.1 200 OK\r\n\r\npart");
+  fixture.Reset();
+  call->SendBody("more");
+  fixture.base.RunFor(kLoopTime);
+  cr_assert_eq(observer.ends, 0);
+  cr_assert_eq(observer.failures, 1);
+}
+
+// The caller of the pool reads slowly, and sees the end of the response long after the reset.
+Test(client_pool, a_reset_while_the_response_is_paused_is_a_failure)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Upload(&observer, body_framing::kLength);
+  call->PauseResponse();
+  http_fixture::Send(fixture.peer.fds[0], "HTTP/1.1 200 OK\r\n\r\npart");
+  fixture.base.RunFor(kLoopTime);
+  fixture.Reset();
+  fixture.base.RunFor(kLoopTime);
+  call->ResumeResponse();
+  fixture.base.RunFor(kLoopTime);
+  cr_assert_eq(observer.ends, 0);
+  cr_assert_eq(observer.failures, 1);
+}
+
+// The kernel ends a connection whose output is not taken for 3 s.
+Test(client_pool, a_connection_that_timed_out_does_not_complete_a_response)
+{
+  client_fixture fixture;
+  recording_observer observer;
+  auto call = fixture.Upload(&observer, body_framing::kLength);
+  fixture.Respond(0, "HTTP/1.1 200 OK\r\n\r\npart");
+  for (int i = 0; i < 100 && observer.failures + observer.ends == 0; ++i) {
+    fixture.base.RunFor(common::milliseconds(100));
+  }
+  cr_assert_eq(observer.ends, 0);
+  cr_assert_eq(observer.failures, 1);
+}
+
+Test(client_pool, a_response_without_length_that_ends_in_order_during_an_upload_is_complete)
+{
+  for (body_framing framing : { body_framing::kLength, body_framing::kChunked }) {
+    for (const char* before : { "", kInformational }) {
+      // Whether the end is read before the reset arrives.
+      for (bool readFirst : { false, true }) {
+        client_fixture fixture;
+        recording_observer observer;
+        auto call = fixture.Upload(&observer, framing);
+        http_fixture::Send(fixture.peer.fds[0],
+                           std::string(before) + "HTTP/1.1 200 OK\r\n\r\nall of it");
+        shutdown(fixture.peer.fds[0], SHUT_WR);
+        if (readFirst) {
+          fixture.base.RunFor(kLoopTime);
+        }
+        fixture.Reset();
+        fixture.base.RunFor(kLoopTime);
+        cr_expect_eq(observer.ends, 1, "read first %d", readFirst);
+        cr_expect(observer.body == "all of it");
+      }
+    }
+  }
+}
+
+Test(client_pool, a_response_with_its_end_is_complete_although_the_upload_is_reset)
+{
+  for (const char* response :
+       { kOk, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" }) {
+    for (const char* before : { "", kInformational }) {
+      client_fixture fixture;
+      recording_observer observer;
+      auto call = fixture.Upload(&observer, body_framing::kLength);
+      http_fixture::Send(fixture.peer.fds[0], std::string(before) + response);
+      fixture.Reset();
+      fixture.base.RunFor(kLoopTime);
+      cr_expect_eq(observer.ends, 1, "%s", response);
+      cr_expect(observer.body == "ok");
+    }
+  }
+}
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -130,3 +130,20 @@
     cr_expect_eq(result.response.status, status);
   }
 }
+
+// The server reads nothing of the upload, so that output waits when it resets the connection.
+Test(http_client, a_response_without_length_that_is_reset_during_an_upload_is_broken)
+{
+  constexpr useconds_t kPauseUs = 200000;
+  raw_server server([&](int aFd) {
+    Respond(aFd, "HTTP/1.1 200 OK\r\n\r\npart");
+    usleep(kPauseUs);
+    linger abort{ 1, 0 };
+    setsockopt(aFd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  });
+  tests::loop_fixture loop;
+  connection::http_client client({});
+  auto request = RequestTo(server.Authority(), "POST");
+  request.body.assign(size_t(32) * 1024 * 1024, 'x');
+  cr_assert(loop.Send(client, request).failure == transport_failure::kBroken);
+}
--- a/tests/platform/broken_response_test.cpp
+++ b/tests/platform/broken_response_test.cpp
@@ -7,6 +7,7 @@
 
 using namespace bamboograde;
 using common::milliseconds;
+using tests::early_responder;
 using tests::fleet_fixture;
 using tests::raw_caller;
 using tests::raw_reply;
@@ -15,8 +16,14 @@
 
 constexpr milliseconds kStartTimeout{ 6000 };
 constexpr milliseconds kResponseTimeout = 2 * fleet_fixture::kRequestTimeout;
+// Longer than a daemon does not use another one that has broken off a response.
+constexpr milliseconds kPeerBackoff{ 300 };
 constexpr char kOddPrefix[] = "odd-";
 constexpr char kStamp[] = "X-Bamboograde-Server-Stamp";
+// More than the sockets on the way hold.
+constexpr size_t kUploadBytes = size_t(45) * 1000 * 1000;
+// More than a daemon buffers before it begins to send a response.
+constexpr size_t kStreamedBytes = size_t(200) * 1024;
 
 std::string RequestHead(const std::string& aMethod, const std::string& aPath,
                         const std::string& aId, const std::string& aFraming = "")
@@ -127,3 +134,182 @@
     }
   }
 }
+
+namespace {
+
+struct early_case
+{
+  const char* name;
+  // Fields of the response for the end of its body, and the body.
+  std::string framing;
+  std::string body;
+  raw_reply::ending ending;
+  // Whether the response is complete.
+  bool sound;
+};
+
+// How the caller sends its upload.
+enum class upload
+{
+  kCounted,
+  kChunked,
+};
+
+// Starts an upload that the upstream answers after its head and does not read. When the upload has
+// come to a halt, and so output waits in each daemon on the way, the connection ends.
+void CheckUpload(broken_fleet& aFleet, const early_case& aCase, size_t aEntry, upload aUpload,
+                 const std::string& aBefore)
+{
+  static unsigned number = 0;
+  std::string id = "upload-" + std::to_string(++number);
+  std::string name = std::string(aCase.name) + ", " + id + ", entry " + std::to_string(aEntry);
+  early_responder responder(aFleet.loop, aBefore + "HTTP/1.1 200 OK\r\n" + GenuineFields("$ID") +
+                                           aCase.framing + "\r\n" + aCase.body);
+  aFleet.vms[1]->upstream->ServeWith([&](int aFd) { responder.Serve(aFd); });
+  raw_caller caller = aFleet.Connect(aEntry);
+  std::string body(kUploadBytes, 'x');
+  if (aUpload == upload::kCounted) {
+    caller.Write(RequestHead("POST", "/book/" + id, id,
+                             "Content-Length: " + std::to_string(kUploadBytes) + "\r\n"));
+  } else {
+    caller.Write(RequestHead("POST", "/book/" + id, id, "Transfer-Encoding: chunked\r\n"));
+    std::string chunk;
+    connection::http::AppendChunk(&chunk, body);
+    body = chunk + std::string(connection::http::kLastChunk);
+  }
+  caller.Write(body);
+  aFleet.RunUntil([&] { return responder.Responses() > 0; }, kResponseTimeout,
+                  (name + ": a response").c_str());
+  size_t unsent = 0;
+  while (unsent != caller.UnsentBytes()) {
+    unsent = caller.UnsentBytes();
+    aFleet.RunFor(milliseconds(100));
+  }
+  // The rest of an upload is discarded after a complete response.
+  cr_expect(unsent > 0 || aCase.sound, "%s: the upload did not halt", name.c_str());
+  responder.End(aCase.ending);
+  aFleet.RunUntil(
+    [&] {
+      bool answered = caller.Received().find("\r\n\r\n") != std::string::npos;
+      return caller.Ended() || (answered && caller.UnsentBytes() == 0);
+    },
+    kResponseTimeout, name.c_str());
+  aFleet.RunFor(kPeerBackoff);
+  aFleet.vms[1]->upstream->ServeWith(nullptr);
+  const std::string& received = caller.Received();
+  bool success = received.starts_with("HTTP/1.1 200 ");
+  if (aCase.sound) {
+    cr_expect(success && received.find(aCase.body) != std::string::npos &&
+                received.find(kStamp) != std::string::npos,
+              "%s: %s", name.c_str(), received.substr(0, 500).c_str());
+    return;
+  }
+  bool complete = received.find("Content-Length:") != std::string::npos ||
+                  received.ends_with(std::string(connection::http::kLastChunk));
+  cr_expect_not(success && complete, "%s: %s", name.c_str(), received.substr(0, 500).c_str());
+  cr_expect(success || received.starts_with("HTTP/1.1 502 "), "%s: %s", name.c_str(),
+            received.substr(0, 500).c_str());
+  cr_expect(success || received.find(kStamp) == std::string::npos, "%s", name.c_str());
+}
+
+} // namespace
+
+Test(broken_response, a_response_that_is_reset_during_an_upload_never_looks_complete)
+{
+  const early_case kCases[] = {
+    { "without length", "", "part", raw_reply::ending::kReset, false },
+    { "without length or body", "", "", raw_reply::ending::kReset, false },
+    { "without length, streamed", "", std::string(kStreamedBytes, 'p'), raw_reply::ending::kReset,
+      false },
+    { "part of a counted one", "Content-Length: 9\r\n", "part", raw_reply::ending::kReset, false },
+    { "part of a chunked one", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n",
+      raw_reply::ending::kReset, false },
+    { "part of a chunked one, in order", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n",
+      raw_reply::ending::kClose, false },
+  };
+  broken_fleet fleet;
+  for (const early_case& item : kCases) {
+    for (size_t entry : { size_t(1), size_t(0) }) {
+      for (upload way : { upload::kCounted, upload::kChunked }) {
+        CheckUpload(fleet, item, entry, way, "");
+      }
+    }
+  }
+  CheckUpload(fleet, kCases[0], 1, upload::kCounted, "HTTP/1.1 103 Early Hints\r\n\r\n");
+}
+
+Test(broken_response, a_complete_response_during_an_upload_is_relayed)
+{
+  const early_case kCases[] = {
+    { "without length, in order", "", "all of it", raw_reply::ending::kClose, true },
+    { "counted", "Content-Length: 9\r\n", "all of it", raw_reply::ending::kReset, true },
+  };
+  broken_fleet fleet;
+  for (const early_case& item : kCases) {
+    for (size_t entry : { size_t(1), size_t(0) }) {
+      for (const char* before : { "", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+        CheckUpload(fleet, item, entry, upload::kCounted, before);
+      }
+    }
+  }
+}
+
+// The upload is written slowly, so that little output waits, or none.
+Test(broken_response, a_response_that_is_reset_during_a_slow_upload_never_looks_complete)
+{
+  constexpr size_t kPieceBytes = 9000;
+  constexpr int kPieces = 100;
+  constexpr int kPieceOfReset = 50;
+  broken_fleet fleet;
+  unsigned number = 0;
+  for (size_t entry : { size_t(1), size_t(0) }) {
+    for (int round = 0; round < 3; ++round) {
+      std::string id = "slow-" + std::to_string(++number);
+      early_responder responder(fleet.loop,
+                                "HTTP/1.1 200 OK\r\n" + GenuineFields("$ID") + "\r\npart");
+      fleet.vms[1]->upstream->ServeWith([&](int aFd) { responder.Serve(aFd); });
+      raw_caller caller = fleet.Connect(entry);
+      caller.Write(
+        RequestHead("POST", "/book/" + id, id,
+                    "Content-Length: " + std::to_string(kPieceBytes * kPieces) + "\r\n"));
+      for (int piece = 0; piece < kPieces; ++piece) {
+        caller.Write(std::string(kPieceBytes, 'x'));
+        if (piece == kPieceOfReset) {
+          cr_expect_eq(responder.Responses(), 1U);
+          responder.End(raw_reply::ending::kReset);
+        }
+        fleet.RunFor(milliseconds(4));
+      }
+      fleet.RunUntil([&] { return caller.Ended() || !caller.Received().empty(); }, kResponseTimeout,
+                     id.c_str());
+      cr_expect(caller.Received().starts_with("HTTP/1.1 502 "), "%s, entry %zu: %s", id.c_str(),
+                entry, caller.Received().c_str());
+      fleet.RunFor(kPeerBackoff);
+    }
+  }
+}
+
+// The daemon between the caller's and the upstream ends in the middle of a response.
+Test(broken_response, a_response_that_ends_with_a_daemon_never_looks_complete)
+{
+  for (size_t bytes : { size_t(4), kStreamedBytes }) {
+    broken_fleet fleet;
+    early_responder responder(fleet.loop, "HTTP/1.1 200 OK\r\n" + GenuineFields("$ID") + "\r\n" +
+                                            std::string(bytes, 'p'));
+    fleet.vms[1]->upstream->ServeWith([&](int aFd) { responder.Serve(aFd); });
+    raw_caller caller = fleet.Connect(0);
+    caller.Write(RequestHead("POST", "/book/x", "x",
+                             "Content-Length: " + std::to_string(kUploadBytes) + "\r\n"));
+    caller.Write(std::string(kUploadBytes, 'x'));
+    fleet.RunUntil([&] { return responder.Responses() > 0; }, kResponseTimeout, "a response");
+    fleet.RunFor(milliseconds(300));
+    fleet.vms[1]->KillDaemon();
+    fleet.RunUntil([&] { return caller.Ended(); }, kResponseTimeout, "the end");
+    const std::string& received = caller.Received();
+    cr_expect(received.starts_with("HTTP/1.1 502 ") ||
+                (received.starts_with("HTTP/1.1 200 ") &&
+                 received.find("Transfer-Encoding: chunked") != std::string::npos &&
+                 !received.ends_with(std::string(connection::http::kLastChunk))),
+              "%zu bytes: %s", bytes, received.substr(0, 300).c_str());
+  }
+}
--- a/tests/standins/fleet/raw_sender.cpp
+++ b/tests/standins/fleet/raw_sender.cpp
@@ -65,6 +65,16 @@
   unsigned mRequests = 0;
 };
 
+// Replaces the mark in aStart by the id of the request in aText.
+std::string WithId(std::string aStart, const std::string& aText)
+{
+  constexpr char kIdMark[] = "$ID";
+  if (size_t at = aStart.find(kIdMark); at != std::string::npos) {
+    aStart.replace(at, sizeof(kIdMark) - 1, HeaderIn(aText, "X-Bamboograde-Request-Id"));
+  }
+  return aStart;
+}
+
 // Sends a start and then the same block again and again, until the caller closes the connection.
 // Deletes itself.
 class endless_sender : public connection::http::stream_owner
@@ -84,11 +94,7 @@
   {
     if (!mStarted) {
       mStarted = true;
-      if (size_t at = mStart.find(kIdMark); at != std::string::npos) {
-        mStart.replace(at, sizeof(kIdMark) - 1,
-                       HeaderIn(mStream->Input(), "X-Bamboograde-Request-Id"));
-      }
-      mStream->Write(mStart);
+      mStream->Write(WithId(mStart, mStream->Input()));
       Send();
     }
     mStream->Input().clear();
@@ -110,7 +116,6 @@
   }
 
   static constexpr common::microseconds kSendPeriod{ 200 };
-  static constexpr char kIdMark[] = "$ID";
 
   connection::http::event_loop& mLoop;
   connection::http::tcp_stream_ptr mStream;
@@ -122,6 +127,62 @@
 
 } // namespace
 
+class early_responder::early_sender : public connection::http::stream_owner
+{
+public:
+  early_sender(early_responder& aResponder, int aFd)
+    : mResponder(aResponder)
+  {
+    mStream = connection::http::tcp_stream::Adopt(aResponder.mLoop, *this, aFd);
+    mStream->Start();
+  }
+  void OnInput() override
+  {
+    if (mStream->Input().find(kHeadEnd) == std::string::npos) {
+      return;
+    }
+    ++mResponder.mResponses;
+    mStream->PauseReading();
+    mStream->Write(WithId(mResponder.mStart, mStream->Input()));
+  }
+  void OnEnd(connection::http::stream_end) override { mStream->Close(); }
+  void End(raw_reply::ending aEnding)
+  {
+    if (aEnding == raw_reply::ending::kReset) {
+      mStream->Reset();
+    } else {
+      mStream->FinishWriting();
+    }
+  }
+
+private:
+  early_responder& mResponder;
+  connection::http::tcp_stream_ptr mStream;
+};
+
+early_responder::early_responder(connection::http::event_loop& aLoop, std::string aStart)
+  : mLoop(aLoop)
+  , mStart(std::move(aStart))
+{
+}
+
+early_responder::~early_responder()
+{
+  End(raw_reply::ending::kReset);
+}
+
+void early_responder::Serve(int aFd)
+{
+  mSenders.push_back(std::make_unique<early_sender>(*this, aFd));
+}
+
+void early_responder::End(raw_reply::ending aEnding)
+{
+  for (const auto& sender : mSenders) {
+    sender->End(aEnding);
+  }
+}
+
 void ServeRaw(connection::http::event_loop& aLoop, int aFd, raw_responder aResponder)
 {
   new raw_sender(aLoop, aFd, std::move(aResponder));
--- a/tests/standins/fleet/raw_sender.h
+++ b/tests/standins/fleet/raw_sender.h
@@ -4,7 +4,9 @@
 #include "connection/http/event_loop.h"
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace bamboograde::tests {
 
@@ -32,4 +34,28 @@
 void ServeEndlessly(connection::http::event_loop& aLoop, int aFd, std::string aStart,
                     std::string aBlock);
 
+// Answers a request as soon as its head has arrived, and reads nothing of its body.
+class early_responder
+{
+public:
+  // aStart: as for ServeEndlessly(). Connections stay open until End().
+  early_responder(connection::http::event_loop& aLoop, std::string aStart);
+  ~early_responder();
+  early_responder(const early_responder&) = delete;
+  early_responder& operator=(const early_responder&) = delete;
+  void Serve(int aFd);
+  // Number of requests that were answered.
+  size_t Responses() const { return mResponses; }
+  // Shuts down the sending side of all connections, or resets them.
+  void End(raw_reply::ending aEnding);
+
+private:
+  class early_sender;
+
+  connection::http::event_loop& mLoop;
+  std::string mStart;
+  std::vector<std::unique_ptr<early_sender>> mSenders;
+  size_t mResponses = 0;
+};
+
 } // namespace bamboograde::tests
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -89,7 +89,9 @@
   mReleased = common::json::array();
   mCrashTimer.Cancel();
   mListener = std::make_unique<connection::http::tcp_listener>(mLoop, [this](int aFd) {
-    if (mRawResponder) {
+    if (mServe) {
+      mServe(aFd);
+    } else if (mRawResponder) {
       ServeRaw(mLoop, aFd, mRawResponder);
     } else if (mEndlessBlock.empty()) {
       connection::http::server_connection::Serve(mLoop, *this, aFd);
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -77,6 +77,8 @@
   unsigned Requests() const { return mRequests; }
   // Answers requests on new connections with the bytes that aResponder returns.
   void RespondRaw(raw_responder aResponder) { mRawResponder = std::move(aResponder); }
+  // Passes new connections to aServe, which takes ownership of the descriptor.
+  void ServeWith(std::function<void(int aFd)> aServe) { mServe = std::move(aServe); }
   // Answers requests on new connections with aStart, in which "$ID" stands for the request's id,
   // and then aBlock without end, until the caller closes the connection.
   void SendEndlessly(std::string aStart, std::string aBlock);
@@ -161,6 +163,7 @@
   std::map<std::string, std::string> mExtraHeaders;
   std::vector<common::boot_time> mArrivals;
   raw_responder mRawResponder;
+  std::function<void(int)> mServe;
   std::string mEndlessStart;
   std::string mEndlessBlock;
   unsigned mEndlessResponses = 0;
