--- a/tests/standins/fleet/raw_caller.h
+++ b/tests/standins/fleet/raw_caller.h
@@ -19,17 +19,15 @@
   void Write(std::string_view aBytes) { mStream->Write(aBytes); }
   size_t UnsentBytes() const { return mStream->PendingBytes(); }
   const std::string& Received() const { return mStream->Input(); }
-  bool Ended() const { return mEnd.has_value(); }
-  // Whether the connection ended other than in order.
-  bool WasReset() const { return mEnd == connection::http::stream_end::kError; }
+  bool Ended() const { return mEnded; }
 
 private:
   // stream_owner
   void OnInput() override {}
-  void OnEnd(connection::http::stream_end aEnd) override { mEnd = aEnd; }
+  void OnEnd(connection::http::stream_end) override { mEnded = true; }
 
   connection::http::tcp_stream_ptr mStream;
-  std::optional<connection::http::stream_end> mEnd;
+  bool mEnded = false;
 };
 
 } // namespace bamboograde::tests
