--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -187,12 +187,12 @@
 Test(server_connection, a_request_behind_a_folded_line_is_not_handled)
 {
   const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
-  const std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
+  const std::string end = "Content-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden;
   for (const char* blank : { " ", "\t" }) {
     http_fixture fixture;
     recording_handler handler;
     int fd = fixture.Serve(handler);
-    http_fixture::Send(fd, "POST / HTTP/1.1\r\nHost: h\r\n" + (blank + length) + "\r\n" + hidden);
+    http_fixture::Send(fd, std::string("POST / HTTP/1.1\r\nHost: h\r\n") + blank + end);
     fixture.RunFor(kLoopTime);
     bool ended = false;
     std::string text = http_fixture::Receive(fd, &ended);
