Send responses in full that callers read slowly

Cause, three places with the same mistake: output that was handed to a stream counted as received. - server_connection::CloseAfterOutput() started the linger time of 1 s when the response was produced, and its end closed the stream with up to 256 KiB in the buffer. This concerns each response that ends its connection: of a stopping daemon, to "Connection: close", to an upload that was not read whole, and to malformed input. - The idle timeout began at the same moment, so that a response which takes longer to read ended in the same way. - sidecar::QuitWhenDrained() counted requests in flight only; the process exited with output in its buffers.

Change: tcp_stream::DeliveredBytes() is what the peer's host has acknowledged (SIOCOUTQ). Linger time and idle timeout begin again while the caller receives output; without progress for the idle timeout the connection ends. A stopping daemon also waits for connections of callers and other daemons with output that was not received, until the end of its grace time; the line "stopped" counts those that are left.

Ruled out: the process's exit alone.

--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -10,8 +10,8 @@
 // Maximum number of requests in progress on one connection. At this number, input is neither parsed
 // nor read, so that TCP flow control slows the caller down.
 constexpr size_t kMaxPipelinedRequests = 32;
-// How long input is discarded after the last response. Closing a socket with unread input resets
-// the connection, which could keep the caller from reading that response.
+// How long input is discarded after the last response was delivered. Closing a socket with unread
+// input resets the connection, which could keep the caller from reading that response.
 constexpr common::milliseconds kLingerTime{ 1000 };
 // Minimum interval at which the timer checks a connection, so that busy connections cost little.
 constexpr common::milliseconds kMinTimerDelay{ 100 };
@@ -19,6 +19,15 @@
 
 } // namespace
 
+size_t exchange_handler::UndeliveredConnections()
+{
+  size_t count = 0;
+  for (open_connection& connection : mConnections) {
+    count += connection.HasUndeliveredOutput() ? 1 : 0;
+  }
+  return count;
+}
+
 server_exchange::server_exchange(server_connection* aConnection, request_head aHead)
   : mConnection(aConnection)
   , mHead(std::move(aHead))
@@ -128,6 +137,7 @@
   boost::intrusive_ptr<server_connection> self(new server_connection(aLoop, aHandler));
   self->mSelf = self;
   self->mStream = tcp_stream::Adopt(aLoop, *self, aFd);
+  aHandler.Add(*self);
   self->mTimer.Arm(self->TimerDeadline());
   self->mStream->Start();
 }
@@ -366,6 +376,7 @@
 void server_connection::CloseAfterOutput()
 {
   mInputEnded = true;
+  mHeadPending = false;
   mLingering = true;
   // Requests after the last response are dropped, as if they had not been received.
   for (const server_exchange_ptr& exchange : mExchanges) {
@@ -379,7 +390,7 @@
   mStream->FinishWriting();
   mStream->ResumeReading();
   mTimeoutStart = mLoop.Now();
-  mTimer.Arm(TimerDeadline());
+  mTimer.Arm(mTimeoutStart + kLingerTime);
 }
 
 void server_connection::OnAbort()
@@ -407,6 +418,7 @@
 {
   boost::intrusive_ptr<server_connection> self(this);
   mTimer.Cancel();
+  unlink();
   mInputEnded = true;
   std::deque<server_exchange_ptr> remaining;
   remaining.swap(mExchanges);
@@ -428,10 +440,24 @@
   }
 }
 
-common::boot_time server_connection::TimerDeadline() const
+// A caller that reads a response slowly is not idle.
+void server_connection::NoteDelivery()
+{
+  uint64_t delivered = mStream->DeliveredBytes();
+  bool undelivered = HasUndeliveredOutput();
+  bool progress = (undelivered || mUndelivered) && delivered != mDeliveredBytes;
+  mDeliveredBytes = delivered;
+  mUndelivered = undelivered;
+  if (progress && !mHeadPending) {
+    mTimeoutStart = mLoop.Now();
+  }
+}
+
+common::boot_time server_connection::TimerDeadline()
 {
   caller_limits limits = mHandler.Limits();
-  common::milliseconds wait = mLingering     ? kLingerTime
+  bool lingers = mLingering && !mUndelivered;
+  common::milliseconds wait = lingers        ? kLingerTime
                               : mHeadPending ? limits.headerTimeout
                                              : limits.idleTimeout;
   return mTimeoutStart + wait;
@@ -441,6 +467,7 @@
 {
   boost::intrusive_ptr<server_connection> self(this);
   common::boot_time now = mLoop.Now();
+  NoteDelivery();
   if (now >= TimerDeadline()) {
     if (mLingering) {
       mStream->Close();
@@ -453,7 +480,8 @@
     }
   }
   if (!mStream->Closed()) {
-    mTimer.Arm(std::max(now + kMinTimerDelay, TimerDeadline()));
+    common::boot_time next = now + kMinTimerDelay;
+    mTimer.Arm(mLingering ? next : std::max(next, TimerDeadline()));
   }
 }
 
--- a/src/connection/http/server_connection.h
+++ b/src/connection/http/server_connection.h
@@ -5,6 +5,7 @@
 #include "connection/http/message_parser.h"
 #include "connection/http/tcp_stream.h"
 
+#include <boost/intrusive/list.hpp>
 #include <deque>
 
 namespace bamboograde::connection::http {
@@ -90,6 +91,17 @@
   bool closing = false;
 };
 
+// An open connection, in the list of its handler.
+class open_connection
+  : public boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+  virtual ~open_connection() = default;
+  // Whether there is output that the caller's host has not received.
+  virtual bool HasUndeliveredOutput() = 0;
+};
+
 // Handles the requests of a listener's connections.
 class exchange_handler
 {
@@ -99,10 +111,18 @@
   // Called when the head of a request was received; the body may follow. The handler responds now
   // or later.
   virtual void OnRequest(const server_exchange_ptr& aExchange) = 0;
+
+  void Add(open_connection& aConnection) { mConnections.push_back(aConnection); }
+  // Number of connections with output that the callers' hosts have not received.
+  size_t UndeliveredConnections();
+
+private:
+  boost::intrusive::list<open_connection, boost::intrusive::constant_time_size<false>> mConnections;
 };
 
 class server_connection
   : public boost::intrusive_ref_counter<server_connection, boost::thread_unsafe_counter>
+  , private open_connection
   , private stream_owner
   , private message_sink
 {
@@ -116,6 +136,8 @@
 
   server_connection(event_loop& aLoop, exchange_handler& aHandler);
 
+  // open_connection
+  bool HasUndeliveredOutput() override { return mStream->HasUndeliveredOutput(); }
   // stream_owner
   void OnInput() override;
   void OnWritable() override;
@@ -134,7 +156,9 @@
   void OnFinished();
   void OnAbort();
   void CloseAfterOutput();
-  common::boot_time TimerDeadline() const;
+  // Restarts the timeout in force while the caller receives output.
+  void NoteDelivery();
+  common::boot_time TimerDeadline();
   void OnTimer();
   void Detach();
 
@@ -156,6 +180,9 @@
   // No further requests are parsed.
   bool mInputEnded = false;
   bool mLingering = false;
+  // As of the last NoteDelivery().
+  uint64_t mDeliveredBytes = 0;
+  bool mUndelivered = false;
   boost::intrusive_ptr<server_connection> mSelf;
 };
 
--- a/src/connection/http/tcp_stream.cpp
+++ b/src/connection/http/tcp_stream.cpp
@@ -6,8 +6,10 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -242,6 +244,16 @@
   }
 }
 
+uint64_t tcp_stream::DeliveredBytes()
+{
+  if (mFd >= 0 && mDeliveredBytes < mSentBytes) {
+    int queued = 0;
+    bool known = ioctl(mFd, SIOCOUTQ, &queued) == 0;
+    mDeliveredBytes = mSentBytes - (known ? std::min(mSentBytes, uint64_t(queued)) : 0);
+  }
+  return mDeliveredBytes;
+}
+
 void tcp_stream::FinishWriting()
 {
   mShutdownPending = true;
--- a/src/connection/http/tcp_stream.h
+++ b/src/connection/http/tcp_stream.h
@@ -61,6 +61,10 @@
   bool Connected() const { return mConnected; }
   // Bytes handed to the kernel since the connection was established.
   uint64_t SentBytes() const { return mSentBytes; }
+  // Of the bytes handed to the kernel, those that the peer's host has acknowledged; all of them
+  // where the kernel does not tell.
+  uint64_t DeliveredBytes();
+  bool HasUndeliveredOutput() { return PendingBytes() > 0 || DeliveredBytes() < mSentBytes; }
   // While reading is paused, input stays in the kernel's receive buffer, so that TCP flow control
   // slows the peer down.
   void PauseReading();
@@ -93,6 +97,7 @@
   uint32_t mWatchedEvents = 0;
   bool mConnected;
   uint64_t mSentBytes = 0;
+  uint64_t mDeliveredBytes = 0;
   bool mReadPaused = false;
   bool mEnded = false;
   // The connection was reset or timed out, as send() has reported.
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -405,7 +405,9 @@
 void sidecar::QuitWhenDrained()
 {
   common::boot_time now = mRuntime.Now();
-  if (mInFlight > 0 || !mKeys.Empty()) {
+  // Responses that are in the buffers of the process would be lost with it.
+  size_t undelivered = mCallers->UndeliveredConnections() + mForwards->UndeliveredConnections();
+  if (mInFlight > 0 || undelivered > 0 || !mKeys.Empty()) {
     mIdleSince = now;
   }
   bool readinessNoticed =
@@ -417,8 +419,8 @@
   }
   bool idle = now >= mIdleSince + kFlushPeriod;
   if ((readinessNoticed && idle) || now >= mStopAt) {
-    mLog.Write(line_class::kState, "stopped", [this] {
-      return common::json{ { "in_flight", mInFlight } };
+    mLog.Write(line_class::kState, "stopped", [&] {
+      return common::json{ { "in_flight", mInFlight }, { "undelivered", undelivered } };
     });
     mLog.Flush();
     mLoop.Quit();
--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -228,6 +228,106 @@
   close(fd);
 }
 
+namespace {
+
+constexpr size_t kSlowlyReadBytes = size_t(2) * 1024 * 1024;
+
+// Reads up to aRate bytes each kLoopTime, until the connection has ended or aTime has passed.
+std::string ReceiveSlowly(http_fixture& aFixture, int aFd, size_t aRate, common::milliseconds aTime,
+                          bool* aEnded)
+{
+  std::string text;
+  std::vector<char> buffer(aRate);
+  common::boot_time end = aFixture.Loop().Now() + aTime;
+  *aEnded = false;
+  while (!*aEnded && aFixture.Loop().Now() < end) {
+    aFixture.RunFor(kLoopTime);
+    ssize_t count = read(aFd, buffer.data(), buffer.size());
+    text.append(buffer.data(), size_t(std::max<ssize_t>(count, 0)));
+    *aEnded = count == 0 || (count < 0 && errno != EAGAIN);
+  }
+  return text;
+}
+
+} // namespace
+
+// The time for which input is discarded began while most of the response was still to be sent, and
+// its end cut the response.
+Test(server_connection, a_caller_that_reads_slowly_receives_the_whole_of_a_last_response)
+{
+  for (const char* request : { "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                               "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\npart" }) {
+    http_fixture fixture;
+    recording_handler handler;
+    int fd = fixture.Serve(handler);
+    http_fixture::Send(fd, request);
+    fixture.RunFor(kLoopTime);
+    handler.RespondTo(0, 200, std::string(kSlowlyReadBytes, 'x'));
+    bool ended = false;
+    std::string text = ReceiveSlowly(fixture, fd, 20000, common::milliseconds(6000), &ended);
+    cr_expect_gt(text.size(), kSlowlyReadBytes, "%zu bytes of the response to %s", text.size(),
+                 request);
+    cr_expect(ended);
+    close(fd);
+  }
+}
+
+// A caller that was still reading a response counted as idle.
+Test(server_connection, a_connection_is_not_idle_while_its_caller_reads_a_response)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  handler.limits.idleTimeout = common::milliseconds(300);
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, kGet);
+  fixture.RunFor(kLoopTime);
+  handler.RespondTo(0, 200, std::string(kSlowlyReadBytes, 'x'));
+  cr_expect_eq(handler.UndeliveredConnections(), 1U);
+  bool ended = false;
+  std::string text = ReceiveSlowly(fixture, fd, 20000, common::milliseconds(6000), &ended);
+  cr_expect_gt(text.size(), kSlowlyReadBytes, "%zu bytes", text.size());
+  cr_expect(ended);
+  cr_expect_eq(handler.UndeliveredConnections(), 0U);
+  close(fd);
+}
+
+Test(server_connection, a_caller_that_stops_reading_does_not_keep_its_connection)
+{
+  for (const char* request : { "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", kGet }) {
+    http_fixture fixture;
+    recording_handler handler;
+    handler.limits.idleTimeout = common::milliseconds(300);
+    int fd = fixture.Serve(handler);
+    http_fixture::Send(fd, request);
+    fixture.RunFor(kLoopTime);
+    handler.RespondTo(0, 200, std::string(kSlowlyReadBytes, 'x'));
+    cr_expect_eq(handler.UndeliveredConnections(), 1U);
+    fixture.RunFor(common::milliseconds(1500));
+    cr_expect_eq(handler.UndeliveredConnections(), 0U);
+    cr_expect_lt(http_fixture::Receive(fd).size(), kSlowlyReadBytes);
+    cr_expect_lt(send(fd, "x", 1, MSG_NOSIGNAL), 0);
+    close(fd);
+  }
+}
+
+Test(server_connection, a_connection_ends_soon_after_its_last_response_was_delivered)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  fixture.RunFor(kLoopTime);
+  handler.RespondTo(0, 200, "last");
+  fixture.RunFor(kLoopTime);
+  cr_expect(http_fixture::Receive(fd).ends_with("last"));
+  // Input after it is discarded for a second.
+  fixture.RunFor(common::milliseconds(500));
+  cr_expect_eq(write(fd, "x", 1), 1);
+  fixture.RunFor(common::milliseconds(1000));
+  cr_expect_lt(send(fd, "x", 1, MSG_NOSIGNAL), 0);
+  close(fd);
+}
+
 // Guards against the rest of a body that is parsed as the next request.
 Test(server_connection, a_response_before_the_body_closes_the_connection)
 {
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -41,23 +41,31 @@
 }
 
 common::json Route(const std::string& aPrefix, const std::string& aKind,
-                   const std::string& aService)
+                   const std::string& aService,
+                   common::milliseconds aTimeout = fleet_fixture::kRequestTimeout)
 {
-  return { { "host", "h.example" }, { "prefix", aPrefix }, { "kind", aKind },
-           { "service", aService }, { "timeoutMs", 2000 }, { "targetLatencyMs", 500 },
-           { "priority", 1 },       { "maxAttempts", 2 } };
+  return { { "host", "h.example" },
+           { "prefix", aPrefix },
+           { "kind", aKind },
+           { "service", aService },
+           { "timeoutMs", aTimeout.count() },
+           { "targetLatencyMs", 500 },
+           { "priority", 1 },
+           { "maxAttempts", 2 } };
 }
 
 } // namespace
 
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
                    const std::string& aService, common::milliseconds aAnnouncePeriod,
-                   process::sidecar::grant_method aGrants, fleet_record& aRecord)
+                   process::sidecar::grant_method aGrants, unsigned aGraceSeconds,
+                   fleet_record& aRecord)
   : mVm(Network() + "." + std::to_string(aNumber))
   , mService(aService)
   , mNumber(aNumber)
   , mAnnouncePeriod(aAnnouncePeriod)
   , mGrants(aGrants)
+  , mGraceSeconds(aGraceSeconds)
   , mSettingsPath("/tmp/bamboograde-fleet-" + std::to_string(getpid()) + "-" +
                   std::to_string(aNumber) + ".yaml")
 {
@@ -90,7 +98,7 @@
                                << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
                                << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
                                << ":7004\n  announcements: " << mVm
-                               << ":7005\nbounds:\n  grace_s: 4\n";
+                               << ":7005\nbounds:\n  grace_s: " << mGraceSeconds << '\n';
 }
 
 void fleet_vm::StartDaemon()
@@ -165,10 +173,11 @@
 
 fleet_fixture::fleet_fixture(const std::vector<std::string>& aServices,
                              common::milliseconds aAnnouncePeriod,
-                             process::sidecar::grant_method aGrants)
+                             process::sidecar::grant_method aGrants, unsigned aGraceSeconds)
   : table(loop)
   , mAnnouncePeriod(aAnnouncePeriod)
   , mGrants(aGrants)
+  , mGraceSeconds(aGraceSeconds)
   , mClients(loop)
 {
   cr_assert(table.Listen(common::endpoint(TableAddress())).has_value());
@@ -182,18 +191,19 @@
 {
   auto number = unsigned(vms.size() + 1);
   vms.push_back(std::make_unique<fleet_vm>(loop, number < kTableHost ? number : number + 1,
-                                           aService, mAnnouncePeriod, mGrants, record));
+                                           aService, mAnnouncePeriod, mGrants, mGraceSeconds,
+                                           record));
 }
 
 void fleet_fixture::Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix,
-                              const std::string& aHealthPath)
+                              const std::string& aHealthPath, common::milliseconds aExtraTimeout)
 {
   common::json routes = { { "keyed", Route("/keyed/", "safe", kKeyedService) },
                           { "plain", Route("/plain/", "safe", "plain") },
                           { "book", Route("/book/", "unsafe", "plain") },
                           { "order", Route("/order/", "unsafe", kKeyedService) } };
   if (!aExtraRoutePrefix.empty()) {
-    routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain");
+    routes["extra"] = Route(aExtraRoutePrefix, "safe", "plain", aExtraTimeout);
   }
   table.Put(
     "op", "config",
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -16,7 +16,7 @@
 public:
   fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber, const std::string& aService,
            common::milliseconds aAnnouncePeriod, process::sidecar::grant_method aGrants,
-           fleet_record& aRecord);
+           unsigned aGraceSeconds, fleet_record& aRecord);
   ~fleet_vm();
   fleet_vm(const fleet_vm&) = delete;
   fleet_vm& operator=(const fleet_vm&) = delete;
@@ -45,6 +45,7 @@
   unsigned mNumber;
   common::milliseconds mAnnouncePeriod;
   process::sidecar::grant_method mGrants;
+  unsigned mGraceSeconds;
   std::string mSettingsPath;
   pid_t mDaemon = -1;
 };
@@ -98,7 +99,8 @@
   explicit fleet_fixture(
     const std::vector<std::string>& aServices,
     common::milliseconds aAnnouncePeriod = common::milliseconds(100),
-    process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse);
+    process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse,
+    unsigned aGraceSeconds = 4);
   // Starts one more VM, at a new address.
   void AddVm(const std::string& aService);
   void RunFor(common::milliseconds aTime);
@@ -115,9 +117,10 @@
                                                 const std::string& aKey = "",
                                                 const std::string& aBody = "",
                                                 size_t aSentBytes = SIZE_MAX);
-  // aHealthPath: of the service without keys.
+  // aHealthPath: of the service without keys. aExtraTimeout: of the extra route.
   void Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix = "",
-                 const std::string& aHealthPath = "/health");
+                 const std::string& aHealthPath = "/health",
+                 common::milliseconds aExtraTimeout = kRequestTimeout);
   // Whether the key ranges held by the upstreams add up to the size of the key space.
   bool AllKeysHeld() const;
   std::string LastRequestId() const { return std::to_string(mLastRequestId); }
@@ -132,6 +135,7 @@
 private:
   common::milliseconds mAnnouncePeriod;
   process::sidecar::grant_method mGrants;
+  unsigned mGraceSeconds;
   connection::http::client_pool mClients;
   uint64_t mLastRequestId = 0;
 };
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -1,6 +1,7 @@
 // A planned stop of a daemon costs no request that it has accepted.
 
 #include "fleet_fixture.h"
+#include "standins/fleet/slow_caller.h"
 
 #include <criterion/criterion.h>
 
@@ -45,3 +46,66 @@
     cr_expect(entry != kStopping || served >= 4, "%zu served", served);
   }
 }
+
+namespace {
+
+// Requests responses of these sizes from the entry daemon, while the daemon of VM 1 is stopped as
+// planned. Requests whose entry daemon is that one are sent shortly after the signal, others just
+// before it.
+void CheckSlowCallers(size_t aEntry, const std::vector<size_t>& aBodyBytes, size_t aRate)
+{
+  constexpr size_t kStopping = 1;
+  constexpr common::milliseconds kStopNoticed{ 100 };
+  constexpr common::milliseconds kTimeout{ 10000 };
+  fleet_fixture fleet({ "keyed", "plain" }, common::milliseconds(100),
+                      process::sidecar::grant_method::kResponse, 12);
+  fleet.RunUntil([&fleet] { return fleet.AllKeysHeld(); }, common::milliseconds(6000),
+                 "all keys held");
+  // The id of a request is the size of its response.
+  fleet.vms[kStopping]->upstream->RespondRaw([](const std::string& aId, unsigned) {
+    return tests::raw_reply{ "HTTP/1.1 200 OK\r\nX-Bamboograde-Request-Id: " + aId +
+                             "\r\nX-Bamboograde-Server-Stamp: s\r\nContent-Length: " + aId +
+                             "\r\n\r\n" + std::string(std::stoul(aId), 'x') };
+  });
+  fleet.Configure(2, "/slow/", "/health", kTimeout);
+  fleet.RunUntil([&] { return fleet.SendRequest(aEntry, "GET", "/slow/x").status == 200; },
+                 common::milliseconds(5000), "the configuration to be in force");
+  if (aEntry == kStopping) {
+    fleet.vms[kStopping]->StopDaemon();
+    fleet.RunFor(kStopNoticed);
+  }
+  std::vector<std::unique_ptr<tests::slow_caller>> callers;
+  for (size_t size : aBodyBytes) {
+    callers.push_back(std::make_unique<tests::slow_caller>(
+      fleet.loop, fleet.vms[aEntry]->Callers(),
+      "GET /slow/y HTTP/1.1\r\nHost: h.example\r\nX-Bamboograde-Request-Id: " +
+        std::to_string(size) + "\r\n\r\n",
+      aRate));
+  }
+  if (aEntry != kStopping) {
+    fleet.RunUntil([&] { return !callers.back()->Received().empty(); }, common::milliseconds(1000),
+                   "the start of the response");
+    fleet.vms[kStopping]->StopDaemon();
+  }
+  for (size_t i = 0; i < callers.size(); ++i) {
+    const std::string& received = callers[i]->Received();
+    std::string body(aBodyBytes[i], 'x');
+    fleet.RunUntil([&] { return callers[i]->Ended() || received.ends_with(body); },
+                   common::milliseconds(11000), "the end of the response");
+    cr_expect(received.starts_with("HTTP/1.1 200 "), "entry %zu: %.100s", aEntry, received.c_str());
+    cr_expect(received.ends_with(body), "entry %zu: %zu bytes of a response with %zu", aEntry,
+              received.size(), body.size());
+  }
+  fleet.RunUntil([&] { return fleet.vms[kStopping]->DaemonEnded(); }, common::milliseconds(12000),
+                 "the end of the daemon");
+}
+
+} // namespace
+
+// Responses that callers read slowly were cut, 1 s after they had been produced or when the daemon
+// exited.
+Test(planned_stop, responses_that_are_read_slowly_are_sent_in_full)
+{
+  CheckSlowCallers(1, { 900000, 950000, 1000000, 1040000 }, 3000);
+  CheckSlowCallers(0, { 2300000, 2400000, 2500000, 2600000 }, 10000);
+}
