Do not let a broken response cut those before it on its connection

Cause: server_exchange::Started() says that a response was begun, and was taken as "the caller has got a part of it". Behind an earlier response it is only queued. And server_exchange::Abort() reset the connection whatever else was on it.

Change, for failures of an attempt, deadlines, and bodies that turn out to be malformed, at the entry daemon and at the one beside the upstream: - While nothing of a response was handed to the stream, it is withdrawn: the request is repeated if it may be, else it gets its 502, 504 or 400 in its turn, and the connection goes on. - A response of which a part was sent is cut as before, but by FIN instead of a reset while the caller's host has not received all of the earlier ones; its framing shows that it is incomplete. One that is aborted before its turn ends the connection in its turn.

Requests behind a response that was cut in its turn are still cancelled: nothing can be sent on their connection.

Three of the four new unit tests fail with the former rules put back one by one at their places; the fourth uses the new call.

--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -98,12 +98,28 @@
   mConnection->OnFinished();
 }
 
+void server_exchange::Withdraw()
+{
+  mStarted = false;
+  mClosesConnection = false;
+  mPendingOutput.clear();
+}
+
 void server_exchange::Abort()
 {
   mObserver = nullptr;
-  if (mConnection != nullptr) {
+  if (mConnection == nullptr) {
+    return;
+  }
+  if (mConnection->IsFront(*this)) {
     mConnection->OnAbort();
+    return;
   }
+  // The connection ends in place of this response.
+  Withdraw();
+  mStarted = true;
+  mFinished = true;
+  mClosesConnection = true;
 }
 
 bool server_exchange::Congested() const
@@ -253,16 +269,17 @@
   response_head head;
   head.status = aStatus;
   if (mReceiving != nullptr) {
-    // The body is invalid. The error is the response to this request, unless one was started.
+    // The body is invalid. The error is the response to this request, unless part of one was sent.
     server_exchange_ptr failedExchange;
     failedExchange.swap(mReceiving);
     if (failedExchange->mObserver != nullptr) {
       failedExchange->mObserver->OnCallerDisconnected();
     }
-    if (failedExchange->mStarted && !failedExchange->mFinished) {
+    if (failedExchange->mSent && !failedExchange->mFinished) {
       failedExchange->Abort();
-    } else if (!failedExchange->mStarted) {
+    } else if (!failedExchange->mFinished) {
       failedExchange->mObserver = nullptr;
+      failedExchange->Withdraw();
       failedExchange->Respond(head, "");
     }
     return;
@@ -301,21 +318,25 @@
   }
 }
 
+bool server_connection::IsFront(const server_exchange& aExchange) const
+{
+  return !mExchanges.empty() && mExchanges.front().get() == &aExchange;
+}
+
 void server_connection::OnOutput(server_exchange& aExchange, std::string_view aBytes)
 {
-  bool isFront = !mExchanges.empty() && mExchanges.front().get() == &aExchange;
   bool nothingQueued = aExchange.mPendingOutput.empty();
   aExchange.mPendingOutput.append(aBytes);
-  if (!isFront || !nothingQueued) {
+  if (!IsFront(aExchange) || !nothingQueued) {
     return;
   }
   // Written at the end of the loop iteration, so that head and body are sent by one system call.
   server_exchange_ptr exchange(&aExchange);
   boost::intrusive_ptr<server_connection> self(this);
   mLoop.Defer([self, exchange] {
-    bool stillFront = !self->mExchanges.empty() && self->mExchanges.front() == exchange;
-    if (stillFront && !self->mStream->Closed()) {
+    if (self->IsFront(*exchange) && !self->mStream->Closed()) {
       bool wasFull = exchange->OutputIsFull();
+      exchange->mSent = exchange->mSent || !exchange->mPendingOutput.empty();
       self->mStream->Write(exchange->mPendingOutput);
       exchange->mPendingOutput.clear();
       self->NotifyWritable(wasFull);
@@ -342,11 +363,14 @@
       mReceiving.reset();
     }
   }
+  mFinishedOutputEnd = mStream->SentBytes() + mStream->PendingBytes() + output.size();
   bool frontWasFull = false;
   if (!closesConnection && !mExchanges.empty()) {
-    frontWasFull = mExchanges.front()->OutputIsFull();
-    output.append(mExchanges.front()->mPendingOutput);
-    mExchanges.front()->mPendingOutput.clear();
+    server_exchange& front = *mExchanges.front();
+    frontWasFull = front.OutputIsFull();
+    front.mSent = !front.mPendingOutput.empty();
+    output.append(front.mPendingOutput);
+    front.mPendingOutput.clear();
   }
   mStream->Write(output);
   if (closesConnection) {
@@ -395,6 +419,11 @@
 
 void server_connection::OnAbort()
 {
+  if (mStream->DeliveredBytes() < mFinishedOutputEnd) {
+    // A reset would drop the rest of the earlier responses.
+    CloseAfterOutput();
+    return;
+  }
   mStream->Reset();
   Detach();
 }
--- a/src/connection/http/server_connection.h
+++ b/src/connection/http/server_connection.h
@@ -50,12 +50,18 @@
   void StartResponse(response_head aHead);
   void SendBody(std::string_view aBytes);
   void FinishResponse();
-  // Resets the connection, so that the caller can not take a partial response for a complete one.
+  // Drops a response that is not finished and of which nothing was sent, so that another can
+  // replace it.
+  void Withdraw();
+  // Ends the connection behind the earlier responses, so that the caller can not take a partial
+  // response for a complete one.
   void Abort();
   // The unsent output exceeds tcp_stream::kHighWaterMarkBytes. Wait for OnResponseWritable() before
   // sending more.
   bool Congested() const;
   bool Started() const { return mStarted; }
+  // Whether part of the response was handed to the stream.
+  bool Sent() const { return mSent; }
   bool Finished() const { return mFinished; }
   bool CallerDisconnected() const { return mConnection == nullptr; }
 
@@ -73,6 +79,7 @@
   std::string mBody;
   bool mBodyComplete = false;
   bool mStarted = false;
+  bool mSent = false;
   bool mFinished = false;
   bool mClosesConnection = false;
   body_framing mFraming = body_framing::kNone;
@@ -151,6 +158,7 @@
   void RejectInput(int aStatus);
   bool CanParse() const;
   void UpdateReading();
+  bool IsFront(const server_exchange& aExchange) const;
   void OnOutput(server_exchange& aExchange, std::string_view aBytes);
   void NotifyWritable(bool aWasFull);
   void OnFinished();
@@ -180,6 +188,8 @@
   // No further requests are parsed.
   bool mInputEnded = false;
   bool mLingering = false;
+  // Where the output of the finished responses ends, in bytes since the connection was established.
+  uint64_t mFinishedOutputEnd = 0;
   // As of the last NoteDelivery().
   uint64_t mDeliveredBytes = 0;
   bool mUndelivered = false;
--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -512,7 +512,7 @@
 {
   boost::intrusive_ptr<entry_request> self(this);
   mAttempt.reset();
-  if (mRelay.Started()) {
+  if (mRelay.Sent()) {
     mContext.process.counters.Add("bamboograde_cut_answers_total");
     mContext.process.log.Write(line_class::kTrouble, "answer_cut",
                                [&] { return Describe("aborted", aFailure.reason); });
@@ -566,7 +566,7 @@
     mAttempt->Cancel();
     mAttempt.reset();
   }
-  if (mRelay.Started()) {
+  if (mRelay.Sent()) {
     mExchange->Abort();
     Release();
   } else if (mayHaveRun || mEarlierAttemptMayHaveRun) {
@@ -630,6 +630,7 @@
     mContext.process.headers.WriteAnswered(mFacts.id, &aHead.headers);
   }
   mExchange->SetObserver(nullptr);
+  mRelay.Discard();
   mExchange->Respond(std::move(aHead), "");
   Release();
 }
--- a/src/process/sidecar/forwarded_request.cpp
+++ b/src/process/sidecar/forwarded_request.cpp
@@ -110,7 +110,7 @@
 void forwarded_request::OnAttemptFailed(const request::attempt_failure& aFailure)
 {
   boost::intrusive_ptr<forwarded_request> self(this);
-  if (mRelay.Started()) {
+  if (mRelay.Sent()) {
     mExchange->Abort();
     Release();
     return;
@@ -131,6 +131,7 @@
   head.headers.Add(aHeader, std::move(aValue));
   AddLoad(&head.headers);
   mExchange->SetObserver(nullptr);
+  mRelay.Discard();
   mExchange->Respond(std::move(head), "");
   Release();
 }
--- a/src/process/sidecar/response_relay.cpp
+++ b/src/process/sidecar/response_relay.cpp
@@ -129,6 +129,8 @@
 
 void response_relay::Discard()
 {
+  Cancel();
+  mExchange->Withdraw();
   mHead = {};
   mBuffered.clear();
 }
--- a/src/process/sidecar/response_relay.h
+++ b/src/process/sidecar/response_relay.h
@@ -37,10 +37,13 @@
   void OnWritable();
   // Drops bytes that wait. Nothing more is written and aDone is not called.
   void Cancel();
-  // Drops a buffered response, so that another can replace it.
+  // Drops a response of which nothing was sent, so that another can replace it.
   void Discard();
-  // Whether part of the response has been sent to the caller.
+  // Whether the response is no longer buffered until complete.
   bool Started() const { return mExchange->Started(); }
+  // Whether part of the response has been sent to the caller. Responses that wait for earlier ones
+  // of the same connection are started, but not sent.
+  bool Sent() const { return mExchange->Sent(); }
   // Whether the attempt has ended, and at most bytes that wait are left to be written.
   bool Ended() const { return mEnded; }
   int Status() const { return mHead.status; }
--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -1,5 +1,6 @@
 #include "connection/http/http_fixture.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <stdexcept>
 #include <sys/resource.h>
@@ -156,6 +157,142 @@
   close(fd);
 }
 
+namespace {
+
+constexpr size_t kSlowlyReadBytes = size_t(2) * 1024 * 1024;
+
+// Reads up to aRate bytes each kLoopTime, until the connection has ended or aTime has passed.
+std::string ReceiveSlowly(http_fixture& aFixture, int aFd, size_t aRate, common::milliseconds aTime,
+                          bool* aEnded)
+{
+  std::string text;
+  std::vector<char> buffer(aRate);
+  common::boot_time end = aFixture.Loop().Now() + aTime;
+  *aEnded = false;
+  while (!*aEnded && aFixture.Loop().Now() < end) {
+    aFixture.RunFor(kLoopTime);
+    ssize_t count = read(aFd, buffer.data(), buffer.size());
+    text.append(buffer.data(), size_t(std::max<ssize_t>(count, 0)));
+    *aEnded = count == 0 || (count < 0 && errno != EAGAIN);
+  }
+  return text;
+}
+
+// Starts a response in chunks and sends part of it.
+void SendPart(server_exchange& aExchange)
+{
+  response_head head;
+  head.status = 200;
+  head.body = { body_framing::kChunked, 0 };
+  aExchange.StartResponse(head);
+  aExchange.SendBody("part");
+}
+
+} // namespace
+
+// A response that waited for an earlier one counted as sent, and its failure reset the connection.
+Test(server_connection, a_response_that_waits_can_be_replaced)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) + kGet + kGet);
+  fixture.RunFor(kLoopTime);
+  SendPart(*handler.exchanges[1]);
+  fixture.RunFor(kLoopTime);
+  cr_expect(handler.exchanges[1]->Started());
+  cr_expect_not(handler.exchanges[1]->Sent());
+  handler.exchanges[1]->Withdraw();
+  handler.RespondTo(1, 502, "two");
+  SendPart(*handler.exchanges[2]);
+  handler.RespondTo(0, 200, "one");
+  fixture.RunFor(kLoopTime);
+  cr_expect(handler.exchanges[2]->Sent());
+  handler.exchanges[2]->FinishResponse();
+  http_fixture::Send(fd, kGet);
+  fixture.RunFor(kLoopTime);
+  cr_assert_eq(handler.exchanges.size(), 4U);
+  handler.RespondTo(3, 200, "four");
+  fixture.RunFor(kLoopTime);
+  std::string text = http_fixture::Receive(fd);
+  size_t one = text.find("one");
+  size_t status = text.find("HTTP/1.1 502");
+  size_t two = text.find("two");
+  size_t part = text.find("part\r\n0\r\n");
+  cr_expect(one < status && status < two && two < part && part < text.find("four"), "%s",
+            text.c_str());
+  cr_expect(text.ends_with("four"), "%s", text.c_str());
+  cr_expect_eq(handler.disconnects, 0);
+  close(fd);
+}
+
+// The reset dropped what the caller had not read of earlier responses.
+Test(server_connection, an_aborted_response_does_not_cut_earlier_ones)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) + kGet + kGet);
+  fixture.RunFor(kLoopTime);
+  handler.RespondTo(0, 200, std::string(kSlowlyReadBytes, 'x'));
+  SendPart(*handler.exchanges[1]);
+  fixture.RunFor(kLoopTime);
+  cr_expect(handler.exchanges[1]->Sent());
+  handler.exchanges[1]->Abort();
+  cr_expect_eq(handler.disconnects, 1);
+  bool ended = false;
+  std::string text = ReceiveSlowly(fixture, fd, 100000, common::milliseconds(3000), &ended);
+  cr_expect(ended);
+  cr_expect_eq(std::count(text.begin(), text.end(), 'x'), ssize_t(kSlowlyReadBytes));
+  cr_expect(text.ends_with("part\r\n"), "%s", text.substr(text.size() - 20).c_str());
+  close(fd);
+}
+
+Test(server_connection, an_aborted_response_that_waits_ends_the_connection_in_its_turn)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) + kGet + kGet);
+  fixture.RunFor(kLoopTime);
+  SendPart(*handler.exchanges[1]);
+  handler.exchanges[1]->Abort();
+  fixture.RunFor(kLoopTime);
+  cr_expect_eq(handler.disconnects, 0);
+  handler.RespondTo(0, 200, "one");
+  fixture.RunFor(kLoopTime);
+  bool ended = false;
+  std::string text = http_fixture::Receive(fd, &ended);
+  cr_expect(text.ends_with("one"), "%s", text.c_str());
+  cr_expect(ended);
+  cr_expect_eq(handler.disconnects, 1);
+  close(fd);
+}
+
+// The error about a malformed body reset the connection if a response waited already.
+Test(server_connection, a_malformed_body_does_not_cut_the_response_before_it)
+{
+  http_fixture fixture;
+  recording_handler handler;
+  int fd = fixture.Serve(handler);
+  http_fixture::Send(fd, std::string(kGet) +
+                           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  fixture.RunFor(kLoopTime);
+  cr_assert_eq(handler.exchanges.size(), 2U);
+  SendPart(*handler.exchanges[1]);
+  http_fixture::Send(fd, "no length\r\n");
+  fixture.RunFor(kLoopTime);
+  handler.RespondTo(0, 200, "one");
+  fixture.RunFor(kLoopTime);
+  bool ended = false;
+  std::string text = http_fixture::Receive(fd, &ended);
+  cr_expect(text.find("one") < text.find("HTTP/1.1 400"), "%s", text.c_str());
+  cr_expect(text.find("HTTP/1.1 400") != std::string::npos, "%s", text.c_str());
+  cr_expect(text.find("part") == std::string::npos, "%s", text.c_str());
+  cr_expect(ended);
+  close(fd);
+}
+
 Test(server_connection, rejects_malformed_and_oversized_requests_and_closes)
 {
   struct expectation
@@ -228,29 +365,6 @@
   close(fd);
 }
 
-namespace {
-
-constexpr size_t kSlowlyReadBytes = size_t(2) * 1024 * 1024;
-
-// Reads up to aRate bytes each kLoopTime, until the connection has ended or aTime has passed.
-std::string ReceiveSlowly(http_fixture& aFixture, int aFd, size_t aRate, common::milliseconds aTime,
-                          bool* aEnded)
-{
-  std::string text;
-  std::vector<char> buffer(aRate);
-  common::boot_time end = aFixture.Loop().Now() + aTime;
-  *aEnded = false;
-  while (!*aEnded && aFixture.Loop().Now() < end) {
-    aFixture.RunFor(kLoopTime);
-    ssize_t count = read(aFd, buffer.data(), buffer.size());
-    text.append(buffer.data(), size_t(std::max<ssize_t>(count, 0)));
-    *aEnded = count == 0 || (count < 0 && errno != EAGAIN);
-  }
-  return text;
-}
-
-} // namespace
-
 // The time for which input is discarded began while most of the response was still to be sent, and
 // its end cut the response.
 Test(server_connection, a_caller_that_reads_slowly_receives_the_whole_of_a_last_response)
--- a/tests/platform/broken_response_test.cpp
+++ b/tests/platform/broken_response_test.cpp
@@ -365,3 +365,113 @@
               "%zu bytes: %s", bytes, received.substr(0, 300).c_str());
   }
 }
+
+namespace {
+
+// Begins to send more than a daemon buffers, and no whole response.
+std::string LargePart(const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\n" + GenuineFields(aId) +
+         "Content-Length: " + std::to_string(kStreamedBytes) + "\r\n\r\n" +
+         std::string(kStreamedBytes / 2, 'x');
+}
+
+// The upstreams of VMs 1 and 2 are of the same service, and misbehave.
+struct pipelined_fleet : public fleet_fixture
+{
+  pipelined_fleet()
+    : fleet_fixture({ "keyed", "plain", "plain" })
+  {
+    RunUntil([this] { return AllKeysHeld(); }, kStartTimeout, "all keys held");
+    for (size_t vm : { size_t(1), size_t(2) }) {
+      vms[vm]->upstream->RespondRaw([this](const std::string& aId, unsigned) {
+        return aId.starts_with(kOddPrefix) ? oddReply(aId) : raw_reply{ Answer(aId) };
+      });
+    }
+  }
+
+  // Reply to a request whose id begins with kOddPrefix.
+  std::function<raw_reply(const std::string& aId)> oddReply;
+};
+
+// Sends, on one connection, a request to a sound upstream that works for a while, one that gets an
+// odd reply meanwhile, and one more. Returns what the caller received until the last response or
+// the end of the connection.
+std::string SendBehindSlowRequest(pipelined_fleet& aFleet, size_t aEntry, milliseconds aWork,
+                                  const std::string& aFields = "")
+{
+  static unsigned number = 0;
+  std::string run = std::to_string(++number);
+  aFleet.vms[0]->upstream->SetWork(aWork);
+  raw_caller caller(aFleet.loop, aFleet.vms[aEntry]->Callers());
+  std::string key = "X-Bamboograde-Shard-Key: 5\r\n";
+  caller.Write(RequestHead("GET", "/keyed/" + run, "slow-" + run, key) +
+               RequestHead("GET", "/plain/" + run, kOddPrefix + run, aFields) +
+               RequestHead("GET", "/plain/last" + run, "last-" + run));
+  std::string last = "answer to last-" + run;
+  aFleet.RunUntil(
+    [&] { return caller.Ended() || caller.Received().find(last) != std::string::npos; },
+    kResponseTimeout, "the last response");
+  // Until the other daemons are used again.
+  aFleet.RunFor(kPeerBackoff);
+  return caller.Received();
+}
+
+// The statuses of the responses in a text, in order.
+std::string Statuses(const std::string& aText)
+{
+  std::string statuses;
+  const std::string start = "HTTP/1.1 ";
+  for (size_t at = aText.find(start); at != std::string::npos; at = aText.find(start, at + 1)) {
+    statuses += aText.substr(at + start.size(), 3) + " ";
+  }
+  return statuses;
+}
+
+} // namespace
+
+// A response that broke off while it waited for an earlier one reset the connection, and the
+// earlier request got no response.
+Test(broken_response, a_response_that_breaks_off_before_its_turn_is_replaced)
+{
+  pipelined_fleet fleet;
+  for (size_t entry : { size_t(1), size_t(0) }) {
+    fleet.oddReply = [](const std::string& aId) {
+      return raw_reply{ LargePart(aId), raw_reply::ending::kClose };
+    };
+    std::string statuses = Statuses(SendBehindSlowRequest(fleet, entry, milliseconds(600)));
+    cr_expect(statuses == "200 502 200 ", "entry %zu, each attempt: %s", entry, statuses.c_str());
+
+    unsigned attempts = 0;
+    fleet.oddReply = [&attempts](const std::string& aId) {
+      return ++attempts == 1 ? raw_reply{ LargePart(aId), raw_reply::ending::kReset }
+                             : raw_reply{ LargePart(aId) + std::string(kStreamedBytes / 2, 'y') };
+    };
+    std::string received = SendBehindSlowRequest(fleet, entry, milliseconds(600));
+    statuses = Statuses(received);
+    cr_expect(statuses == "200 200 200 ", "entry %zu, one attempt: %s", entry, statuses.c_str());
+    cr_expect_eq(attempts, 2U);
+    std::string half(kStreamedBytes / 2, 'x');
+    std::string whole = "\r\n\r\n" + half + std::string(kStreamedBytes / 2, 'y') + "HTTP/1.1 ";
+    cr_expect(received.find(whole) != std::string::npos, "entry %zu", entry);
+
+    fleet.oddReply = [](const std::string& aId) { return raw_reply{ LargePart(aId) }; };
+    statuses = Statuses(
+      SendBehindSlowRequest(fleet, entry, milliseconds(900), "X-Bamboograde-Deadline-Ms: 500\r\n"));
+    cr_expect(statuses == "200 504 200 ", "entry %zu, deadline: %s", entry, statuses.c_str());
+  }
+}
+
+// A response of which the caller has got a part can only be cut.
+Test(broken_response, a_response_that_breaks_off_in_its_turn_is_cut)
+{
+  pipelined_fleet fleet;
+  fleet.oddReply = [](const std::string& aId) { return raw_reply{ LargePart(aId) }; };
+  for (size_t entry : { size_t(1), size_t(0) }) {
+    std::string received =
+      SendBehindSlowRequest(fleet, entry, milliseconds(200), "X-Bamboograde-Deadline-Ms: 500\r\n");
+    cr_expect(Statuses(received) == "200 200 ", "entry %zu: %s", entry, Statuses(received).c_str());
+    cr_expect(received.ends_with("\r\n\r\n" + std::string(kStreamedBytes / 2, 'x')), "entry %zu",
+              entry);
+  }
+}
