Answer all pipelined requests of a connection that is about to end

Cause: server_exchange::StartResponse() ended the connection without regard to later requests, and parsing went on until the response was complete.

Change: only the last request that was received gets the response that ends the connection. Once that has been started, or a request says "Connection: close", later input is not parsed as requests, so that it is not handled.

--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -65,8 +65,10 @@
   mFraming = aHead.body.framing;
   // The connection also closes if the request's body is incomplete, because its rest would be
   // parsed as the next request.
-  mClosesConnection = mClosesConnection || !mBodyComplete || !mHead.keepAlive ||
-                      mConnection->mHandler.Limits().closing;
+  bool ends =
+    !mBodyComplete || mConnection->mLastRequestReceived || mConnection->mHandler.Limits().closing;
+  mClosesConnection = mClosesConnection || (ends && mConnection->IsLast(*this));
+  mConnection->mLastRequestReceived = mConnection->mLastRequestReceived || mClosesConnection;
   QueueOutput(SerializeResponse(aHead, mClosesConnection));
 }
 
@@ -177,6 +179,12 @@
   std::string& input = mStream->Input();
   size_t used = 0;
   while (!mInputEnded && !mStream->Closed() && used < input.size() && CanParse()) {
+    if (mLastRequestReceived && mReceiving == nullptr) {
+      mParser.reset();
+      mHeadPending = false;
+      used = input.size();
+      break;
+    }
     if (mParser == nullptr) {
       // Empty lines before a request line are ignored (RFC 9112).
       if (input[used] == '\r' || input[used] == '\n') {
@@ -225,6 +233,7 @@
                               (mReceiving->Head().body.framing == body_framing::kLength &&
                                mReceiving->Head().body.length == 0);
   mExchanges.push_back(mReceiving);
+  mLastRequestReceived = !mReceiving->Head().keepAlive;
   server_exchange_ptr exchange = mReceiving;
   mHandler.OnRequest(exchange);
   bool sendsContinue = exchange->mHead.expectsContinue && !exchange->mStarted &&
@@ -323,6 +332,11 @@
   return !mExchanges.empty() && mExchanges.front().get() == &aExchange;
 }
 
+bool server_connection::IsLast(const server_exchange& aExchange) const
+{
+  return !mExchanges.empty() && mExchanges.back().get() == &aExchange;
+}
+
 void server_connection::OnOutput(server_exchange& aExchange, std::string_view aBytes)
 {
   bool nothingQueued = aExchange.mPendingOutput.empty();
--- a/src/connection/http/server_connection.h
+++ b/src/connection/http/server_connection.h
@@ -159,6 +159,7 @@
   bool CanParse() const;
   void UpdateReading();
   bool IsFront(const server_exchange& aExchange) const;
+  bool IsLast(const server_exchange& aExchange) const;
   void OnOutput(server_exchange& aExchange, std::string_view aBytes);
   void NotifyWritable(bool aWasFull);
   void OnFinished();
@@ -185,6 +186,9 @@
   bool mParsing = false;
   // Parsing is paused because the body buffer is full or too many requests are in progress.
   bool mParsingPaused = false;
+  // The response to the last request that was received ends the connection. Later ones are not
+  // parsed, so that the caller can tell that they were not handled.
+  bool mLastRequestReceived = false;
   // No further requests are parsed.
   bool mInputEnded = false;
   bool mLingering = false;
--- a/tests/connection/http/server_connection_test.cpp
+++ b/tests/connection/http/server_connection_test.cpp
@@ -442,6 +442,58 @@
   close(fd);
 }
 
+// The first response of a stopping daemon ended the connection, and the requests behind it, which
+// were running already, got none.
+Test(server_connection, the_last_of_the_pipelined_requests_ends_a_closing_connection)
+{
+  for (size_t first : { 0U, 1U }) {
+    http_fixture fixture;
+    recording_handler handler;
+    int fd = fixture.Serve(handler);
+    http_fixture::Send(fd, std::string(kGet) + kGet);
+    fixture.RunFor(kLoopTime);
+    handler.limits.closing = true;
+    handler.RespondTo(first, 200, "answer " + std::to_string(first));
+    fixture.RunFor(kLoopTime);
+    handler.RespondTo(1 - first, 200, "answer " + std::to_string(1 - first));
+    fixture.RunFor(kLoopTime);
+    bool ended = false;
+    std::string text = http_fixture::Receive(fd, &ended);
+    size_t zero = text.find("answer 0");
+    size_t close = text.find("Connection: close");
+    cr_expect(zero < close && close < text.find("answer 1"), "%s", text.c_str());
+    cr_expect(text.ends_with("answer 1"), "%s", text.c_str());
+    cr_expect(ended);
+    cr_expect_eq(handler.disconnects, 0);
+    ::close(fd);
+  }
+}
+
+// Such a request was handled, and then cancelled when the response before it was complete.
+Test(server_connection, a_request_behind_the_start_of_a_last_response_is_not_handled)
+{
+  const std::string closing = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  for (const std::string& request : { std::string(kGet), closing }) {
+    http_fixture fixture;
+    recording_handler handler;
+    handler.limits.closing = request == kGet;
+    int fd = fixture.Serve(handler);
+    http_fixture::Send(fd, request + "GET /be");
+    fixture.RunFor(kLoopTime);
+    SendPart(*handler.exchanges[0]);
+    http_fixture::Send(fd, std::string("hind HTTP/1.1\r\nHost: h\r\n\r\n") + kGet);
+    fixture.RunFor(kLoopTime);
+    cr_expect_eq(handler.exchanges.size(), 1U);
+    handler.exchanges[0]->FinishResponse();
+    fixture.RunFor(kLoopTime);
+    bool ended = false;
+    std::string text = http_fixture::Receive(fd, &ended);
+    cr_expect(text.ends_with("part\r\n0\r\n\r\n"), "%s", text.c_str());
+    cr_expect(ended);
+    close(fd);
+  }
+}
+
 // Guards against the rest of a body that is parsed as the next request.
 Test(server_connection, a_response_before_the_body_closes_the_connection)
 {
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -1,6 +1,7 @@
 // A planned stop of a daemon costs no request that it has accepted.
 
 #include "fleet_fixture.h"
+#include "standins/fleet/raw_caller.h"
 #include "standins/fleet/slow_caller.h"
 
 #include <criterion/criterion.h>
@@ -109,3 +110,36 @@
   CheckSlowCallers(1, { 900000, 950000, 1000000, 1040000 }, 3000);
   CheckSlowCallers(0, { 2300000, 2400000, 2500000, 2600000 }, 10000);
 }
+
+// The first response of the stopping daemon ended the connection, and the requests behind it were
+// cancelled at their upstream.
+Test(planned_stop, all_pipelined_requests_are_answered)
+{
+  constexpr size_t kStopping = 1;
+  constexpr size_t kRequests = 3;
+  constexpr common::milliseconds kWork{ 300 };
+  fleet_fixture fleet({ "keyed", "plain" });
+  fleet.RunUntil([&fleet] { return fleet.AllKeysHeld(); }, common::milliseconds(6000),
+                 "all keys held");
+  cr_assert_eq(fleet.SendRequest(kStopping, "GET", "/plain/x").status, 200);
+  fleet.vms[kStopping]->upstream->SetWork(kWork);
+  tests::raw_caller caller(fleet.loop, fleet.vms[kStopping]->Callers());
+  for (size_t i = 0; i < kRequests; ++i) {
+    std::string id = "pipelined-" + std::to_string(i);
+    caller.Write("GET /plain/" + id +
+                 " HTTP/1.1\r\nHost: h.example\r\nX-Bamboograde-Request-Id: " + id + "\r\n\r\n");
+  }
+  fleet.RunFor(kWork / 3);
+  fleet.vms[kStopping]->StopDaemon();
+  fleet.RunUntil([&] { return caller.Ended(); }, common::milliseconds(4000),
+                 "the end of the connection");
+  const std::string& received = caller.Received();
+  size_t served = 0;
+  for (size_t at = received.find("HTTP/1.1 200 "); at != std::string::npos;
+       at = received.find("HTTP/1.1 200 ", at + 1)) {
+    ++served;
+  }
+  cr_expect_eq(served, kRequests, "%s", received.c_str());
+  fleet.RunUntil([&] { return fleet.vms[kStopping]->DaemonEnded(); }, common::milliseconds(4000),
+                 "the end of the daemon");
+}
