--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -76,6 +76,7 @@
     fleet.RunFor(kStopNoticed);
   }
   std::vector<std::unique_ptr<tests::slow_caller>> callers;
+  callers.reserve(aBodyBytes.size());
   for (size_t size : aBodyBytes) {
     callers.push_back(std::make_unique<tests::slow_caller>(
       fleet.loop, fleet.vms[aEntry]->Callers(),
@@ -125,9 +126,9 @@
   fleet.vms[kStopping]->upstream->SetWork(kWork);
   tests::raw_caller caller(fleet.loop, fleet.vms[kStopping]->Callers());
   for (size_t i = 0; i < kRequests; ++i) {
-    std::string id = "pipelined-" + std::to_string(i);
-    caller.Write("GET /plain/" + id +
-                 " HTTP/1.1\r\nHost: h.example\r\nX-Bamboograde-Request-Id: " + id + "\r\n\r\n");
+    std::string request = "GET /plain/pipelined HTTP/1.1\r\nHost: h.example\r\n";
+    request += "X-Bamboograde-Request-Id: pipelined-" + std::to_string(i) + "\r\n\r\n";
+    caller.Write(request);
   }
   fleet.RunFor(kWork / 3);
   fleet.vms[kStopping]->StopDaemon();
