Let the table stand-in return from an older copy, and answer conflicts with the current rows

Cause: a transaction whose conditions do not hold got 412 without rows, though the table service returns the current ones, so the daemons were tested against another protocol; removals in a transaction were ignored; and nothing could play a service that returns from an older copy.

Change: 412 with the rows of the conditions; removals; 410 for a version that the service does not have; a copy of rows and version to which the service returns after some time, with its clock set back, versions given out again, the operator's rows written again and, if set, the number of returns in all responses; transactions that are performed late.

--- a/tests/standins/fleet/table_standin.cpp
+++ b/tests/standins/fleet/table_standin.cpp
@@ -26,13 +26,6 @@
   return result;
 }
 
-void RespondJson(const server_exchange_ptr& aExchange, int aStatus, const common::json& aBody)
-{
-  connection::http::response_head head;
-  head.status = aStatus;
-  aExchange->Respond(head, common::Dump(aBody));
-}
-
 } // namespace
 
 table_standin::table_standin(connection::http::event_loop& aLoop)
@@ -51,11 +44,13 @@
                         const common::json& aValue)
 {
   mRows[{ aTable, aKey }] = { Base64(common::Dump(aValue)), ++mVersion };
+  mOperatorRows[{ aTable, aKey }] = mRows[{ aTable, aKey }];
 }
 
 void table_standin::Remove(const std::string& aTable, const std::string& aKey)
 {
   mRows[{ aTable, aKey }] = { "", ++mVersion, true };
+  mOperatorRows[{ aTable, aKey }] = mRows[{ aTable, aKey }];
 }
 
 void table_standin::CloseFeeds()
@@ -77,15 +72,100 @@
     Process(aExchange);
     return;
   }
-  mDelays.push_back(std::make_unique<connection::http::loop_timer>(
-    mLoop, [this, aExchange] { Process(aExchange); }));
-  mDelays.back()->Arm(mLoop.Now() + mDelay);
+  After(mDelay, [this, aExchange] { Process(aExchange); });
+}
+
+void table_standin::After(common::milliseconds aDelay, std::function<void()> aAction)
+{
+  mDelays.push_back(std::make_unique<connection::http::loop_timer>(mLoop, std::move(aAction)));
+  mDelays.back()->Arm(mLoop.Now() + aDelay);
+}
+
+void table_standin::Respond(const server_exchange_ptr& aExchange, int aStatus,
+                            const common::json& aBody) const
+{
+  connection::http::response_head head;
+  head.status = aStatus;
+  if (mEra > 0) {
+    head.headers.Add("Store-Era", std::to_string(mEra));
+  }
+  aExchange->Respond(head, common::Dump(aBody));
+}
+
+void table_standin::TakeCopy()
+{
+  mCopy = { mRows, mVersion, mLoop.Now() };
+  mOperatorRows.clear();
+}
+
+void table_standin::ReturnToCopy(common::milliseconds aDownTime, common::milliseconds aRewriteDelay)
+{
+  mDown = true;
+  for (waiting_feed& feed : std::exchange(mFeeds, {})) {
+    mUnanswered.push_back(std::move(feed.exchange));
+  }
+  After(aDownTime, [this, aRewriteDelay] { OnReturned(aRewriteDelay); });
+}
+
+void table_standin::OnReturned(common::milliseconds aRewriteDelay)
+{
+  mDown = false;
+  mRows = mCopy.rows;
+  mVersion = mCopy.version;
+  mHistoryFrom = std::min(mHistoryFrom, mVersion);
+  mClockBack += std::chrono::duration_cast<common::milliseconds>(mLoop.Now() - mCopy.takenAt);
+  mEra += mEra > 0 ? 1 : 0;
+  if (aRewriteDelay.count() == 0) {
+    RewriteOperatorRows();
+  } else {
+    After(aRewriteDelay, [this] { RewriteOperatorRows(); });
+  }
+}
+
+void table_standin::RewriteOperatorRows()
+{
+  for (auto& [key, row] : mOperatorRows) {
+    row.version = ++mVersion;
+    mRows[key] = row;
+  }
+  RespondToFeeds();
+}
+
+void table_standin::DelayTransactions(unsigned aCount, common::milliseconds aDelay)
+{
+  mTransactionsToDelay = aCount;
+  mTransactionDelay = aDelay;
+}
+
+common::json table_standin::Row(const std::string& aTable, const std::string& aKey) const
+{
+  auto found = mRows.find({ aTable, aKey });
+  if (found == mRows.end() || found->second.removed) {
+    return nullptr;
+  }
+  gsize size = 0;
+  guchar* bytes = g_base64_decode(found->second.value.c_str(), &size);
+  common::json value = common::json::parse(std::string(reinterpret_cast<char*>(bytes), size));
+  g_free(bytes);
+  return value;
+}
+
+std::vector<std::string> table_standin::Keys(const std::string& aTable,
+                                             const std::string& aPrefix) const
+{
+  std::vector<std::string> keys;
+  for (const auto& [key, row] : mRows) {
+    if (key.first == aTable && key.second.rfind(aPrefix, 0) == 0 && !row.removed) {
+      keys.push_back(key.second);
+    }
+  }
+  return keys;
 }
 
 void table_standin::Process(const server_exchange_ptr& aExchange)
 {
   if (mDown) {
-    RespondJson(aExchange, 503, common::json::object());
+    Respond(aExchange, 503, common::json::object());
     return;
   }
   const std::string& target = aExchange->Head().target;
@@ -93,45 +173,80 @@
     process::sidecar::ReadBody(
       mLoop, aExchange, [this](const server_exchange_ptr& aComplete) { OnTransaction(aComplete); });
   } else if (target.find("/v1/rows-get") == 0) {
-    RespondJson(aExchange, 200,
+    Respond(aExchange, 200,
                 { { "rows", Rows(Query(target, "table"), 0, Query(target, "from")) },
                   { "hasMore", false },
                   { "ver", mVersion },
                   { "nowMs", NowMs() } });
   } else if (target.find("/v1/rows-feed") == 0) {
     uint64_t after = std::stoull(Query(target, "after"));
-    if (after < mHistoryFrom) {
-      RespondJson(aExchange, 410, common::json::object());
+    if (after < mHistoryFrom || after > mVersion) {
+      Respond(aExchange, 410, common::json::object());
       return;
     }
     common::milliseconds wait(std::stoll(Query(target, "waitMs")));
     mFeeds.push_back({ aExchange, Query(target, "table"), after, mLoop.Now() + wait });
     RespondToFeeds();
   } else {
-    RespondJson(aExchange, 404, common::json::object());
+    Respond(aExchange, 404, common::json::object());
   }
 }
 
 void table_standin::OnTransaction(const server_exchange_ptr& aExchange)
 {
   common::json body = common::json::parse(aExchange->TakeBody());
-  for (const common::json& row : body["expected"]) {
-    auto found = mRows.find({ row["table"], row["key"] });
-    uint64_t version = found == mRows.end() ? 0 : found->second.version;
-    if (version != row["ver"].get<uint64_t>()) {
-      RespondJson(aExchange, 412, { { "rows", common::json::array() } });
-      return;
-    }
+  if (mTransactionsToDelay > 0) {
+    --mTransactionsToDelay;
+    mUnanswered.push_back(aExchange);
+    After(mTransactionDelay, [this, body] {
+      if (Conflicts(body).is_null()) {
+        Write(body);
+      }
+    });
+    return;
   }
-  ++mVersion;
-  for (const common::json& row : body["setKeys"]) {
-    mRows[{ row["table"], row["key"] }] = { row["value"], mVersion };
+  common::json conflicts = Conflicts(body);
+  if (!conflicts.is_null()) {
+    Respond(aExchange, 412, { { "rows", conflicts }, { "ver", mVersion } });
+    return;
   }
+  Write(body);
   if (mResponsesToDrop > 0) {
     --mResponsesToDrop;
     aExchange->Abort();
   } else {
-    RespondJson(aExchange, 200, { { "ver", mVersion } });
+    Respond(aExchange, 200, { { "ver", mVersion } });
+  }
+}
+
+common::json table_standin::Conflicts(const common::json& aBody) const
+{
+  bool holds = true;
+  common::json rows = common::json::array();
+  for (const common::json& expected : aBody["expected"]) {
+    auto found = mRows.find({ expected["table"], expected["key"] });
+    bool exists = found != mRows.end() && !found->second.removed;
+    uint64_t version = exists ? found->second.version : 0;
+    holds = holds && version == expected["ver"].get<uint64_t>();
+    if (exists) {
+      rows.push_back({ { "table", expected["table"] },
+                       { "part", "" },
+                       { "key", expected["key"] },
+                       { "value", found->second.value },
+                       { "ver", version } });
+    }
+  }
+  return holds ? common::json() : rows;
+}
+
+void table_standin::Write(const common::json& aBody)
+{
+  ++mVersion;
+  for (const common::json& row : aBody["setKeys"]) {
+    mRows[{ row["table"], row["key"] }] = { row["value"], mVersion };
+  }
+  for (const common::json& row : aBody["remove"]) {
+    mRows[{ row["table"], row["key"] }] = { "", mVersion, true };
   }
   RespondToFeeds();
 }
@@ -158,7 +273,7 @@
   // Differs from the daemons' clocks, as that of another machine does.
   constexpr uint64_t kOffsetMs = 987654321;
   auto time = std::chrono::duration_cast<common::milliseconds>(mLoop.Now().time_since_epoch());
-  return kOffsetMs + uint64_t(time.count());
+  return kOffsetMs + uint64_t((time - mClockBack).count());
 }
 
 void table_standin::RespondToFeeds()
@@ -174,7 +289,7 @@
       mFeeds.push_back(std::move(feed));
       continue;
     }
-    RespondJson(feed.exchange, 200,
+    Respond(feed.exchange, 200,
                 { { "rows", rows }, { "ver", mVersion }, { "nowMs", NowMs() } });
   }
 }
--- a/tests/standins/fleet/table_standin.h
+++ b/tests/standins/fleet/table_standin.h
@@ -1,5 +1,5 @@
 // In-memory stand-in for the platform's table service: versioned rows, conditional transactions and
-// change feeds.
+// change feeds. It can return from an older copy of its rows.
 #pragma once
 
 #include "connection/http/server_connection.h"
@@ -41,6 +41,28 @@
   // Number of calls since the start.
   uint64_t Calls() const { return mCalls; }
 
+  // The number of returns that all responses name from now on; 0: they name none.
+  void SetEra(uint64_t aEra) { mEra = aEra; }
+  uint64_t Era() const { return mEra; }
+  // Keeps a copy of the rows and of the version.
+  void TakeCopy();
+  // Is down for aDownTime and returns with the rows and the version of the copy. Versions after that
+  // are given out again. Rows that were written by Put() or removed by Remove() since the copy was
+  // taken are written again once it is back, after aRewriteDelay. Feeds that are waiting get no
+  // response.
+  void ReturnToCopy(common::milliseconds aDownTime,
+                    common::milliseconds aRewriteDelay = common::milliseconds(0));
+  // Raises the version, as writes to other tables do.
+  void SkipVersions(uint64_t aCount) { mVersion += aCount; }
+  uint64_t Version() const { return mVersion; }
+  // The next transactions are processed after this time, by the conditions that hold then, and get
+  // no response.
+  void DelayTransactions(unsigned aCount, common::milliseconds aDelay);
+  // The row of a table that the daemons write; null if there is none.
+  common::json Row(const std::string& aTable, const std::string& aKey) const;
+  // Keys of the rows of a table that begin with aPrefix.
+  std::vector<std::string> Keys(const std::string& aTable, const std::string& aPrefix) const;
+
   connection::http::caller_limits Limits() const override { return {}; }
   void OnRequest(const connection::http::server_exchange_ptr& aExchange) override;
 
@@ -51,6 +73,13 @@
     uint64_t version = 0;
     bool removed = false;
   };
+  using row_key = std::pair<std::string, std::string>;
+  struct table_copy
+  {
+    std::map<row_key, stored_row> rows;
+    uint64_t version = 0;
+    common::boot_time takenAt;
+  };
   struct waiting_feed
   {
     connection::http::server_exchange_ptr exchange;
@@ -61,6 +90,14 @@
 
   void Process(const connection::http::server_exchange_ptr& aExchange);
   void OnTransaction(const connection::http::server_exchange_ptr& aExchange);
+  // Returns null if the conditions hold, else the present rows that they name.
+  common::json Conflicts(const common::json& aBody) const;
+  void Write(const common::json& aBody);
+  void Respond(const connection::http::server_exchange_ptr& aExchange, int aStatus,
+               const common::json& aBody) const;
+  void OnReturned(common::milliseconds aRewriteDelay);
+  void RewriteOperatorRows();
+  void After(common::milliseconds aDelay, std::function<void()> aAction);
   common::json Rows(const std::string& aTable, uint64_t aAfter, const std::string& aFrom) const;
   void RespondToFeeds();
 
@@ -76,7 +113,15 @@
   common::milliseconds mDelay{ 0 };
   uint64_t mCalls = 0;
   unsigned mResponsesToDrop = 0;
-  std::map<std::pair<std::string, std::string>, stored_row> mRows;
+  std::map<row_key, stored_row> mRows;
+  uint64_t mEra = 0;
+  table_copy mCopy;
+  // Rows that Put() and Remove() have changed since the copy was taken.
+  std::map<row_key, stored_row> mOperatorRows;
+  // The clock in the responses goes back with the rows.
+  common::milliseconds mClockBack{ 0 };
+  unsigned mTransactionsToDelay = 0;
+  common::milliseconds mTransactionDelay{ 0 };
   std::deque<waiting_feed> mFeeds;
   std::deque<waiting_feed> mStalledFeeds;
   // Exchanges without a response.
