Count the keys that two upstreams hold at once in fleet tests

Cause: tests check that fleet_record::sharedKeys is 0, but nothing ever counted it.

Change: the fixture compares what all upstreams hold every 5 ms and keeps the largest number of shared keys. It also tells daemons whether their start belongs to the first start of the fleet; it told none.

--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -1,5 +1,6 @@
 #include "fleet_fixture.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <csignal>
 #include <cstdlib>
@@ -20,6 +21,7 @@
 // Directory for the logs of the daemons; if unset, they go to /dev/null.
 constexpr char kLogVariable[] = "BAMBOOGRADE_TEST_LOGS";
 constexpr char kDefaultNetwork[] = "127.0.9";
+constexpr common::milliseconds kHolderCheckPeriod{ 5 };
 
 // Last byte of the table service's address.
 constexpr unsigned kTableHost = 9;
@@ -58,7 +60,7 @@
 
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
                    const std::string& aService, common::milliseconds aAnnouncePeriod,
-                   process::sidecar::grant_method aGrants, unsigned aGraceSeconds,
+                   process::sidecar::grant_method aGrants, unsigned aGraceSeconds, bool aFirstStart,
                    fleet_record& aRecord)
   : mVm(Network() + "." + std::to_string(aNumber))
   , mService(aService)
@@ -66,6 +68,7 @@
   , mAnnouncePeriod(aAnnouncePeriod)
   , mGrants(aGrants)
   , mGraceSeconds(aGraceSeconds)
+  , mFirstStart(aFirstStart)
   , mSettingsPath("/tmp/bamboograde-fleet-" + std::to_string(getpid()) + "-" +
                   std::to_string(aNumber) + ".yaml")
 {
@@ -78,7 +81,6 @@
   options.directGrants = aGrants == process::sidecar::grant_method::kDirect;
   upstream = std::make_unique<upstream_standin>(aLoop, options, aRecord);
   cr_assert(upstream->Start().has_value());
-  WriteSettings();
   StartDaemon();
 }
 
@@ -95,6 +97,7 @@
                                << "\nplatform: " << TableAddress()
                                << "\nannounce_period_ms: " << mAnnouncePeriod.count()
                                << "\ngrants: " << GrantsText(mGrants)
+                               << "\nfirst_start: " << (mFirstStart ? "true" : "false")
                                << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
                                << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
                                << ":7004\n  announcements: " << mVm
@@ -103,6 +106,8 @@
 
 void fleet_vm::StartDaemon()
 {
+  WriteSettings();
+  mFirstStart = false;
   std::string settings = "--settings=" + mSettingsPath;
   int execPipe[2];
   cr_assert_eq(pipe2(execPipe, O_CLOEXEC), 0);
@@ -179,20 +184,22 @@
   , mGrants(aGrants)
   , mGraceSeconds(aGraceSeconds)
   , mClients(loop)
+  , mHolderCheck(loop, [this] { CountSharedKeys(); })
 {
+  CountSharedKeys();
   cr_assert(table.Listen(common::endpoint(TableAddress())).has_value());
   Configure(1);
   for (const std::string& service : aServices) {
-    AddVm(service);
+    AddVm(service, true);
   }
 }
 
-void fleet_fixture::AddVm(const std::string& aService)
+void fleet_fixture::AddVm(const std::string& aService, bool aFirstStart)
 {
   auto number = unsigned(vms.size() + 1);
   vms.push_back(std::make_unique<fleet_vm>(loop, number < kTableHost ? number : number + 1,
                                            aService, mAnnouncePeriod, mGrants, mGraceSeconds,
-                                           record));
+                                           aFirstStart, record));
 }
 
 void fleet_fixture::Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix,
@@ -216,6 +223,24 @@
       { "limits", { { "idleTimeoutMs", 5000 } } } });
 }
 
+void fleet_fixture::CountSharedKeys()
+{
+  mHolderCheck.Arm(loop.Now() + kHolderCheckPeriod);
+  std::vector<version::key_range> held;
+  for (const auto& vm : vms) {
+    auto ranges = vm->upstream->HeldRanges();
+    held.insert(held.end(), ranges.begin(), ranges.end());
+  }
+  std::sort(held.begin(), held.end());
+  size_t shared = 0;
+  uint32_t next = 0;
+  for (const version::key_range& range : held) {
+    shared += range.first < next ? std::min(next, range.last + 1) - range.first : 0;
+    next = std::max(next, range.last + 1);
+  }
+  record.sharedKeys = std::max(record.sharedKeys, shared);
+}
+
 void fleet_fixture::RunFor(common::milliseconds aTime)
 {
   connection::http::loop_timer timer(loop, [this] { loop.Quit(); });
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -16,7 +16,7 @@
 public:
   fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber, const std::string& aService,
            common::milliseconds aAnnouncePeriod, process::sidecar::grant_method aGrants,
-           unsigned aGraceSeconds, fleet_record& aRecord);
+           unsigned aGraceSeconds, bool aFirstStart, fleet_record& aRecord);
   ~fleet_vm();
   fleet_vm(const fleet_vm&) = delete;
   fleet_vm& operator=(const fleet_vm&) = delete;
@@ -46,6 +46,8 @@
   common::milliseconds mAnnouncePeriod;
   process::sidecar::grant_method mGrants;
   unsigned mGraceSeconds;
+  // The next process is one of the first start of the fleet.
+  bool mFirstStart;
   std::string mSettingsPath;
   pid_t mDaemon = -1;
 };
@@ -101,8 +103,8 @@
     common::milliseconds aAnnouncePeriod = common::milliseconds(100),
     process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse,
     unsigned aGraceSeconds = 4);
-  // Starts one more VM, at a new address.
-  void AddVm(const std::string& aService);
+  // Starts one more VM, at a new address. aFirstStart: it belongs to the first start of the fleet.
+  void AddVm(const std::string& aService, bool aFirstStart = false);
   void RunFor(common::milliseconds aTime);
   // Runs the event loop until the condition holds; fails the test after the timeout.
   void RunUntil(const std::function<bool()>& aCondition, common::milliseconds aTimeout,
@@ -133,10 +135,13 @@
   std::vector<std::unique_ptr<fleet_vm>> vms;
 
 private:
+  void CountSharedKeys();
+
   common::milliseconds mAnnouncePeriod;
   process::sidecar::grant_method mGrants;
   unsigned mGraceSeconds;
   connection::http::client_pool mClients;
+  connection::http::loop_timer mHolderCheck;
   uint64_t mLastRequestId = 0;
 };
 
--- a/tests/standins/fleet/upstream_standin.cpp
+++ b/tests/standins/fleet/upstream_standin.cpp
@@ -145,7 +145,7 @@
          });
 }
 
-size_t upstream_standin::HeldKeys() const
+std::vector<version::key_range> upstream_standin::HeldRanges() const
 {
   version::key_owner held;
   for (const version::held_range& range : mHolds) {
@@ -158,9 +158,14 @@
       version::AddRange(&held, { granted.held.range, {}, "" });
     }
   }
+  return version::RangesOf(held);
+}
+
+size_t upstream_standin::HeldKeys() const
+{
   size_t count = 0;
-  for (const version::held_range& range : held.ranges) {
-    count += range.range.Size();
+  for (const version::key_range& range : HeldRanges()) {
+    count += range.Size();
   }
   return count;
 }
--- a/tests/standins/fleet/upstream_standin.h
+++ b/tests/standins/fleet/upstream_standin.h
@@ -33,8 +33,8 @@
 {
   // Number of runs by request id.
   std::map<std::string, unsigned> runs;
-  // Keys that two upstreams held at the same time.
-  unsigned sharedKeys = 0;
+  // The largest number of keys that two upstreams held at the same time.
+  size_t sharedKeys = 0;
   // Size of the received body in bytes, by request id.
   std::map<std::string, size_t> bodyBytes;
   // Keys that an upstream took with a fencing token that another incarnation had had.
@@ -99,6 +99,7 @@
   // Runs the next requests and responds with status 500.
   void FailRequests(unsigned aCount) { mResponsesToFail = aCount; }
   bool Holds(uint32_t aKey) const;
+  std::vector<version::key_range> HeldRanges() const;
   size_t HeldKeys() const;
   const std::string& Vm() const { return mOptions.vm; }
 
