End a session when a new one is submitted

The old witnesses renewed again, so the owner went on granting keys under the old session, while the map named the new one with other witnesses. These had never renewed it, so they gave its keys to another owner one term after they had seen it: two holders of the keys.

Callers could have had requests for one key run by two upstreams; no case of it was seen.

An owner no longer relies on the old session once the new one is submitted. It submits one only when it has lost most of its witnesses, or does not know which witness set is stored, so this costs no service.

--- a/src/process/sidecar/key_ownership.cpp
+++ b/src/process/sidecar/key_ownership.cpp
@@ -287,7 +287,10 @@
     });
   if (!submitted) {
     mSessionStartAt = {};
+    return;
   }
+  // The map may name the new session, with other witnesses, before this daemon hears of that.
+  mSession = {};
 }
 
 lease::witness_set key_ownership::ChooseWitnesses(const lease::witness_set& aKeep)
