Let a daemon advertise other addresses than those it listens at

A relay between two daemons, such as a stand-in for a narrow link in a test, could not be put in front of a daemon: it told the others the addresses at which it listens.

The optional settings advertise.forwards and advertise.control are the addresses that other daemons are told: in the member record, as the sender of control messages and as a witness of leases. Their default is the listen address, so nothing changes without them.

--- a/src/process/sidecar/change_broadcast.cpp
+++ b/src/process/sidecar/change_broadcast.cpp
@@ -21,7 +21,7 @@
 
 void change_broadcast::BroadcastMember(const version::member& aMember)
 {
-  common::json body = { { "from", mRuntime.settings.listen.control.Str() },
+  common::json body = { { "from", mRuntime.settings.PublicControl().Str() },
                         { "members", common::json::array({ version::EncodeMember(aMember) }) } };
   SendToAllZones(body, {});
 }
@@ -35,7 +35,7 @@
        common::GetArray(common::GetObject(delta, "changed"), "owners")) {
     affected.insert(common::GetString(owner, "vm"));
   }
-  common::json body = { { "from", mRuntime.settings.listen.control.Str() },
+  common::json body = { { "from", mRuntime.settings.PublicControl().Str() },
                         { "key_map", std::move(delta) } };
   SendToAllZones(body, affected);
 }
@@ -97,7 +97,7 @@
 {
   common::json body = aBody;
   // A receiver that lacks earlier versions fetches them from the sender of this message.
-  body["from"] = mRuntime.settings.listen.control.Str();
+  body["from"] = mRuntime.settings.PublicControl().Str();
   auto zones = PeersByZone();
   size_t remaining = kOwnZoneFanOut;
   for (const version::member* peer : zones[mRuntime.settings.zone]) {
--- a/src/process/sidecar/gossip.cpp
+++ b/src/process/sidecar/gossip.cpp
@@ -106,7 +106,7 @@
   if (!mComparing.insert(aControl).second) {
     return;
   }
-  common::json body = { { "from", mRuntime.settings.listen.control.Str() },
+  common::json body = { { "from", mRuntime.settings.PublicControl().Str() },
                         { "digest", Digest() } };
   mConfig.AddState(&body);
   if (!mSuspects.Empty()) {
@@ -137,7 +137,7 @@
 common::json gossip::OnCompare(const common::json& aBody)
 {
   OnPeerState(aBody);
-  common::json response = { { "from", mRuntime.settings.listen.control.Str() } };
+  common::json response = { { "from", mRuntime.settings.PublicControl().Str() } };
   mConfig.AddState(&response);
   if (!mSuspects.Empty()) {
     response["suspects"] = mSuspects.Export(mRuntime.Now());
--- a/src/process/sidecar/key_ownership.cpp
+++ b/src/process/sidecar/key_ownership.cpp
@@ -297,7 +297,7 @@
 {
   const sidecar_settings& settings = mRuntime.settings;
   lease::witness_candidate self;
-  self.ref = { settings.listen.control, mBoot };
+  self.ref = { settings.PublicControl(), mBoot };
   self.zone = settings.zone;
   std::vector<lease::witness_candidate> others;
   common::boot_time now = mRuntime.Now();
--- a/src/process/sidecar/key_takeover.cpp
+++ b/src/process/sidecar/key_takeover.cpp
@@ -73,7 +73,7 @@
   }
   bool expiredHere = std::any_of(aOwner.witnesses.begin(), aOwner.witnesses.end(),
                                  [&](const version::witness_ref& aWitness) {
-                                   return aWitness.control == mRuntime.settings.listen.control &&
+                                   return aWitness.control == mRuntime.settings.PublicControl() &&
                                           mWitness.MayPromise(aOwner.session, aWitness.boot, now);
                                  });
   if (!expiredHere ||
@@ -108,7 +108,7 @@
 {
   common::boot_time now = mRuntime.Now();
   for (const version::witness_ref& witness : aTakeover->owner.witnesses) {
-    if (witness.control == mRuntime.settings.listen.control) {
+    if (witness.control == mRuntime.settings.PublicControl()) {
       auto answer = mWitness.OnRevoke(aTakeover->owner.session, witness.boot, now);
       if (answer == lease::revocation_answer::kPromised) {
         OnPromise(aTakeover, witness);
--- a/src/process/sidecar/sidecar.cpp
+++ b/src/process/sidecar/sidecar.cpp
@@ -191,8 +191,8 @@
   mSelf.vm = mSettings.vm;
   mSelf.boot = mBoot;
   mSelf.zone = mSettings.zone;
-  mSelf.forward = mSettings.listen.forwards;
-  mSelf.control = mSettings.listen.control;
+  mSelf.forward = mSettings.PublicForwards();
+  mSelf.control = mSettings.PublicControl();
   // 2. Listeners.
   auto listening = Listen();
   if (!listening.has_value()) {
--- a/src/process/sidecar/sidecar_settings.cpp
+++ b/src/process/sidecar/sidecar_settings.cpp
@@ -122,6 +122,8 @@
     { "listen.readiness", { true, Address(&listen.readiness) } },
     { "listen.metrics", { false, Address(&listen.metrics) } },
     { "listen.announcements", { true, Address(&listen.announcements) } },
+    { "advertise.forwards", { false, Address(&aSettings->advertise.forwards) } },
+    { "advertise.control", { false, Address(&aSettings->advertise.control) } },
     { "bounds.grace_s", { false, Millis(&bounds.grace, kSecond) } },
     { "bounds.drain_ms", { false, Millis(&bounds.drain, kMillisecond) } },
     { "bounds.config_apply_ms", { false, Millis(&bounds.configApply, kMillisecond) } },
--- a/src/process/sidecar/sidecar_settings.h
+++ b/src/process/sidecar/sidecar_settings.h
@@ -27,6 +27,13 @@
   common::endpoint metrics;
 };
 
+// Addresses under which other daemons reach this one. Empty: its listen address.
+struct sidecar_advertised
+{
+  common::endpoint forwards;
+  common::endpoint control;
+};
+
 // Limits that the deployment sets for the daemon.
 struct sidecar_bounds
 {
@@ -77,9 +84,20 @@
   // The fleet is being started for the first time.
   bool firstStart = false;
   sidecar_listeners listen;
+  sidecar_advertised advertise;
   sidecar_bounds bounds;
   // Control addresses of daemons to ask when the platform is unreachable.
   std::vector<common::endpoint> seeds;
+
+  // The addresses that other daemons are told.
+  const common::endpoint& PublicForwards() const
+  {
+    return advertise.forwards.Empty() ? listen.forwards : advertise.forwards;
+  }
+  const common::endpoint& PublicControl() const
+  {
+    return advertise.control.Empty() ? listen.control : advertise.control;
+  }
 };
 
 // Reads aPath. Reports all findings; the settings are valid only if there are none.
--- a/tests/process/sidecar/sidecar_settings_test.cpp
+++ b/tests/process/sidecar/sidecar_settings_test.cpp
@@ -38,6 +38,23 @@
   cr_assert(settings.listen.metrics.Empty());
 }
 
+Test(sidecar_settings, tells_other_daemons_the_advertised_addresses)
+{
+  common::findings findings;
+  auto settings = ParseSidecarSettings(kWhole, "file", &findings);
+  cr_assert_eq(settings.PublicForwards().Str(), "127.0.0.1:5");
+  cr_assert_eq(settings.PublicControl().Str(), "127.0.0.1:6");
+  settings = ParseSidecarSettings(
+    kWhole + "advertise:\n  forwards: 127.0.0.3:5\n  control: 127.0.0.3:6\n", "file", &findings);
+  cr_assert(findings.Empty(), "%s", findings.Format().c_str());
+  cr_assert_eq(settings.PublicForwards().Str(), "127.0.0.3:5");
+  cr_assert_eq(settings.PublicControl().Str(), "127.0.0.3:6");
+  cr_assert_eq(settings.listen.forwards.Str(), "127.0.0.1:5");
+  cr_assert_eq(settings.listen.control.Str(), "127.0.0.1:6");
+  ParseSidecarSettings(kWhole + "advertise:\n  control: nowhere\n", "file", &findings);
+  cr_assert(findings.Format().find("advertise.control: expected IP:PORT") != std::string::npos);
+}
+
 Test(sidecar_settings, reports_all_findings_with_their_line)
 {
   common::findings findings;
