--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -61,7 +61,7 @@
 fleet_vm::fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber,
                    const std::string& aService, common::milliseconds aAnnouncePeriod,
                    process::sidecar::grant_method aGrants, unsigned aGraceSeconds, bool aFirstStart,
-                   fleet_record& aRecord)
+                   size_t aLinkRate, fleet_record& aRecord)
   : mVm(Network() + "." + std::to_string(aNumber))
   , mService(aService)
   , mNumber(aNumber)
@@ -81,6 +81,14 @@
   options.directGrants = aGrants == process::sidecar::grant_method::kDirect;
   upstream = std::make_unique<upstream_standin>(aLoop, options, aRecord);
   cr_assert(upstream->Start().has_value());
+  if (aLinkRate > 0) {
+    mLink = std::make_unique<narrow_link>(aLoop, aLinkRate);
+    for (const char* port : { "2", "3" }) {
+      cr_assert(
+        mLink->Join(common::endpoint(mVm + ":700" + port), common::endpoint(mVm + ":710" + port))
+          .has_value());
+    }
+  }
   StartDaemon();
 }
 
@@ -92,14 +100,17 @@
 
 void fleet_vm::WriteSettings() const
 {
+  const char* listenBase = mLink == nullptr ? ":700" : ":710";
   std::ofstream(mSettingsPath) << "vm: " << mVm << "\nzone: zone" << mNumber % 3
                                << "\nservice: " << mService << "\nupstream: " << mVm << ":7000"
                                << "\nplatform: " << TableAddress()
                                << "\nannounce_period_ms: " << mAnnouncePeriod.count()
                                << "\ngrants: " << GrantsText(mGrants)
                                << "\nfirst_start: " << (mFirstStart ? "true" : "false")
-                               << "\nlisten:\n  callers: " << mVm << ":7001\n  forwards: " << mVm
-                               << ":7002\n  control: " << mVm << ":7003\n  readiness: " << mVm
+                               << "\nadvertise:\n  forwards: " << mVm << ":7002\n  control: " << mVm
+                               << ":7003\nlisten:\n  callers: " << mVm
+                               << ":7001\n  forwards: " << mVm << listenBase
+                               << "2\n  control: " << mVm << listenBase << "3\n  readiness: " << mVm
                                << ":7004\n  announcements: " << mVm
                                << ":7005\nbounds:\n  grace_s: " << mGraceSeconds << '\n';
 }
@@ -194,12 +205,12 @@
   }
 }
 
-void fleet_fixture::AddVm(const std::string& aService, bool aFirstStart)
+void fleet_fixture::AddVm(const std::string& aService, bool aFirstStart, size_t aLinkRate)
 {
   auto number = unsigned(vms.size() + 1);
   vms.push_back(std::make_unique<fleet_vm>(loop, number < kTableHost ? number : number + 1,
                                            aService, mAnnouncePeriod, mGrants, mGraceSeconds,
-                                           aFirstStart, record));
+                                           aFirstStart, aLinkRate, record));
 }
 
 void fleet_fixture::Configure(uint64_t aVersion, const std::string& aExtraRoutePrefix,
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process/sidecar/sidecar_settings.h"
+#include "standins/fleet/narrow_link.h"
 #include "standins/fleet/table_standin.h"
 #include "standins/fleet/upstream_standin.h"
 
@@ -16,7 +17,7 @@
 public:
   fleet_vm(connection::http::event_loop& aLoop, unsigned aNumber, const std::string& aService,
            common::milliseconds aAnnouncePeriod, process::sidecar::grant_method aGrants,
-           unsigned aGraceSeconds, bool aFirstStart, fleet_record& aRecord);
+           unsigned aGraceSeconds, bool aFirstStart, size_t aLinkRate, fleet_record& aRecord);
   ~fleet_vm();
   fleet_vm(const fleet_vm&) = delete;
   fleet_vm& operator=(const fleet_vm&) = delete;
@@ -49,6 +50,8 @@
   // The next process is one of the first start of the fleet.
   bool mFirstStart;
   std::string mSettingsPath;
+  // Null: other daemons reach this one directly.
+  std::unique_ptr<narrow_link> mLink;
   pid_t mDaemon = -1;
 };
 
@@ -104,7 +107,8 @@
     process::sidecar::grant_method aGrants = process::sidecar::grant_method::kResponse,
     unsigned aGraceSeconds = 4);
   // Starts one more VM, at a new address. aFirstStart: it belongs to the first start of the fleet.
-  void AddVm(const std::string& aService, bool aFirstStart = false);
+  // aLinkRate: bytes per second of the link over which other daemons reach its daemon; 0: no limit.
+  void AddVm(const std::string& aService, bool aFirstStart = false, size_t aLinkRate = 0);
   void RunFor(common::milliseconds aTime);
   // Runs the event loop until the condition holds; fails the test after the timeout.
   void RunUntil(const std::function<bool()>& aCondition, common::milliseconds aTimeout,
