Keep requests at silent daemons until another attempt is answered

Callers saw 502 for safe requests at which an upstream was at work, before and after a SIGTERM of the entry daemon (LOST in the latter case).

Cause: a daemon that did not respond to one ping, or accepted no connection within 150 ms, had all safe requests there cancelled before it was known whether another upstream takes them.

Now silence ends no attempt. A safe request without a key is hedged: it is offered to other gates as well, within maxAttempts and the retry budget, at the first failed ping only where a slot is free. The other attempts are cancelled when one's response is complete or its first part is sent. A refused hedge leaves its retry to the next failed ping. Unsafe requests and those with a key wait as before, and a reset connection ends an attempt as before. Requests of a stopping daemon are hedged too. Each attempt counts once against maxAttempts; before, each failed ping counted. A daemon that accepts no connection is reported once per spell.

entry_attempt keeps what entry_request knew of its only attempt. Counters by result of hedges and by reason of abandoned attempts, and lines peer_unresponsive and attempt_abandoned, tell what becomes of them. remote_attempt ignores a pause or resumption after its end, as local_attempt does.

Measured: silent_peer, 7 of 7 pass, also behind a narrow link. With the untouched daemons a_request_is_not_given_up_without_another_slot (502), ..._behind_a_full_link (502) and a_request_at_a_daemon_that_is_gone_is_served_elsewhere (only the part with a stopping entry daemon: no response within 1 s) failed, 1, 7 and 1 runs.

--- a/src/process/sidecar/entry_request.cpp
+++ b/src/process/sidecar/entry_request.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
+#include <utility>
 
 namespace bamboograde::process::sidecar {
 
@@ -16,6 +17,8 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstServerError = 500;
+// Failed health checks of a daemon after which a request with a large response is hedged.
+constexpr unsigned kFailedChecksOfBulk = 2;
 // Responses up to this size are buffered until complete, so that a failed attempt can still be
 // retried.
 constexpr size_t kMaxBufferedResponseBytes = size_t(64) * 1024;
@@ -179,6 +182,10 @@
     }
   }
   if (mContext.gate.Suspects().IsRefused(mFacts.fingerprint)) {
+    if (!mAttempts.empty()) {
+      // A crash suspect runs at one upstream at a time.
+      return;
+    }
     PlaceTrial();
     return;
   }
@@ -305,6 +312,10 @@
   mSearch.SetUsualTime(usualTime);
   auto step = mSearch.Next(candidates, now);
   if (!step.has_value()) {
+    if (!mAttempts.empty()) {
+      // No hedge for now; the attempts in flight go on.
+      return;
+    }
     if (mLastRefusal.empty()) {
       RejectWithLongestRetryAfter(candidates.empty() ? "no_upstream" : "unreachable");
       return;
@@ -320,22 +331,63 @@
 void entry_request::StartAttempt(const version::member& aTarget)
 {
   boost::intrusive_ptr<entry_request> self(this);
-  mTarget = aTarget;
-  mUnresponsiveBefore = false;
-  mAttemptAt = mContext.process.Now();
+  runtime& process = mContext.process;
+  mLastVm = aTarget.vm;
   mFacts.namedLimit = mContext.notices.Limit(aTarget);
   mFacts.namedBy = aTarget.Incarnation();
-  if (aTarget.vm == mContext.process.settings.vm) {
-    mAttempt = new local_attempt(mContext.process, mContext.gate, mExchange->Head(), mFacts, this);
+  entry_attempt_ptr attempt(
+    new entry_attempt(this, aTarget, mFacts.onlyIfFree, !mAttempts.empty(), process.Now()));
+  mHedges += attempt->Hedge() ? 1 : 0;
+  mAttempts.push_back(attempt);
+  request::attempt_ptr running;
+  if (aTarget.vm == process.settings.vm) {
+    running =
+      new local_attempt(process, mContext.gate, mExchange->Head(), mFacts, attempt->Observer());
   } else {
-    mAttempt = new remote_attempt(mContext.process, mContext.placement, mContext.failureDetector,
-                                  aTarget, mExchange->Head(), mFacts, this);
+    running = new remote_attempt(process, mContext.placement, mContext.failureDetector, aTarget,
+                                 mExchange->Head(), mFacts, attempt->Observer());
   }
-  request::attempt_ptr attempt = mAttempt;
-  attempt->Start(mBody.Take(), mBody.Whole());
-  if (mAttempt == attempt) {
+  attempt->Start(std::move(running), mBody.Take(), mBody.Whole());
+  if (attempt->Running() != nullptr) {
     // Sends the part of the body that has arrived since.
-    mBody.Pump(*attempt);
+    mBody.Pump(*attempt->Running());
+  }
+}
+
+void entry_request::Remove(entry_attempt& aAttempt, const char* aHedgeResult)
+{
+  if (aAttempt.Hedge()) {
+    mContext.process.counters.Add(std::string("bamboograde_hedges_total{result=\"") + aHedgeResult +
+                                  "\"}");
+  }
+  std::erase(mAttempts, &aAttempt);
+}
+
+void entry_request::Abandon(entry_attempt& aAttempt, const char* aReason)
+{
+  runtime& process = mContext.process;
+  if (aAttempt.MayHaveRun()) {
+    process.counters.Add(std::string("bamboograde_attempts_abandoned_total{reason=\"") + aReason +
+                         "\"}");
+  }
+  if (mHedges > 0) {
+    process.log.Write(line_class::kTrouble, "attempt_abandoned",
+                      [&] { return DescribeAttempt(aAttempt, "abandoned", aReason); });
+  }
+  if (mResponder == &aAttempt) {
+    mResponder = nullptr;
+  }
+  aAttempt.Cancel();
+  Remove(aAttempt, aReason);
+}
+
+void entry_request::AbandonOthers(const entry_attempt* aAttempt, const char* aReason)
+{
+  std::vector<entry_attempt_ptr> attempts = mAttempts;
+  for (const entry_attempt_ptr& attempt : attempts) {
+    if (attempt.get() != aAttempt) {
+      Abandon(*attempt, aReason);
+    }
   }
 }
 
@@ -359,23 +411,31 @@
   Place();
 }
 
-// Counts an attempt that may have reached an upstream, and takes a retry from the budget. Returns
-// whether the request may be retried.
+void entry_request::CountSent(entry_attempt& aAttempt)
+{
+  mSent += aAttempt.Count() ? 1 : 0;
+}
+
 bool entry_request::TryTakeRetry()
 {
   runtime& process = mContext.process;
-  ++mSent;
+  for (const entry_attempt_ptr& attempt : mAttempts) {
+    CountSent(*attempt);
+  }
   bool time = process.Now() + kMinAttemptTime < mFacts.deadline;
   if (mSent >= mMaxAttempts || !time || !mBody.Whole()) {
     return false;
   }
+  if (std::exchange(mHoldsRetry, false)) {
+    return true;
+  }
   return mContext.budgets[mFacts.service].TryTake(process.fleet.RunningMemberCount(),
                                                   process.Now());
 }
 
-void entry_request::RestartSearch(bool aMayWait)
+void entry_request::RestartSearch(const entry_attempt& aLast, bool aMayWait)
 {
-  mSearch.OnRefused(mTarget.vm);
+  mSearch.OnRefused(aLast.Target().vm);
   mSearch.Restart(aMayWait);
 }
 
@@ -386,8 +446,9 @@
   if (mRelay.Ended()) {
     return;
   }
-  if (mAttempt != nullptr) {
-    mBody.Pump(*mAttempt);
+  if (!mAttempts.empty()) {
+    // Only a request whose body is complete is hedged.
+    mBody.Pump(*mAttempts.front()->Running());
   } else if (!mBodyTaken && mBody.ReadyToPlace()) {
     Place();
   }
@@ -399,9 +460,7 @@
   mContext.process.counters.Add("bamboograde_callers_gone_total");
   mContext.process.log.Write(line_class::kRoutine, "caller_gone",
                              [this] { return Describe("cancelled", ""); });
-  if (mAttempt != nullptr) {
-    mAttempt->Cancel();
-  }
+  AbandonOthers(nullptr, "caller_gone");
   Release();
 }
 
@@ -410,49 +469,80 @@
   mRelay.OnWritable();
 }
 
-void entry_request::OnAttemptHead(connection::http::response_head& aHead)
+void entry_request::OnHead(entry_attempt& aAttempt, connection::http::response_head& aHead)
 {
-  mHoldsFailedResponse = false;
   runtime& process = mContext.process;
   if (auto notice = process.headers.ReadNotice(aHead.headers); notice.has_value()) {
-    mContext.notices.OnResponse(mTarget, *notice,
+    mContext.notices.OnResponse(aAttempt.Target(), *notice,
                                 process.Now() + process.settings.bounds.drain -
                                   upstream_gate::kDrainMargin);
   }
-  if (mFacts.onlyIfFree) {
+  if (aAttempt.OnlyIfFree()) {
     mContext.placement.OnFreeSlotQuery(true);
   }
+  if (mResponder != nullptr) {
+    bool replacesError =
+      mRelay.Status() >= kFirstServerError && aHead.status < kFirstServerError && !mRelay.Started();
+    if (!replacesError) {
+      return;
+    }
+    mRelay.Discard();
+  }
+  mResponder = &aAttempt;
+  mHoldsFailedResponse = false;
   mRelay.OnHead(aHead);
 }
 
-void entry_request::OnAttemptBody(std::string_view aBytes)
+void entry_request::OnBody(entry_attempt& aAttempt, std::string_view aBytes)
 {
-  mRelay.OnBody(aBytes, mAttempt);
+  if (mResponder != &aAttempt) {
+    return;
+  }
+  mRelay.OnBody(aBytes, aAttempt.Running());
+  // Until then, another attempt can replace a response that breaks off.
+  if (mRelay.Started()) {
+    AbandonOthers(&aAttempt, "answered_elsewhere");
+  }
 }
 
-void entry_request::OnAttemptEnd()
+void entry_request::OnEnd(entry_attempt& aAttempt)
 {
   boost::intrusive_ptr<entry_request> self(this);
+  if (mResponder != &aAttempt) {
+    // Not used, because the response of another attempt had begun.
+    OnFailed(aAttempt, { "answered_elsewhere" });
+    return;
+  }
+  mResponder = nullptr;
   bool failed = mRelay.Status() >= kFirstServerError && !mRelay.Started();
   bool mayRepeat = mFacts.idempotent && !mFacts.key.has_value() && !mOnTrial;
-  if (failed && mayRepeat && TryTakeRetry()) {
+  bool retries = failed && mayRepeat && (mAttempts.size() > 1 || TryTakeRetry());
+  mLastVm = aAttempt.Target().vm;
+  Remove(aAttempt, failed ? "failed" : "answered");
+  if (retries) {
+    CountSent(aAttempt);
     mEarlierAttemptMayHaveRun = true;
+    mHoldsFailedResponse = true;
+    if (!mAttempts.empty()) {
+      mSearch.OnRefused(aAttempt.Target().vm);
+      return;
+    }
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [this] { return Describe("repeated", "upstream_error"); });
-    mHoldsFailedResponse = true;
     // Does not wait for a slot: a retry must not displace the first attempt of another request.
-    RestartSearch(false);
+    RestartSearch(aAttempt, false);
     Place();
     return;
   }
+  AbandonOthers(nullptr, "answered_elsewhere");
   runtime& process = mContext.process;
   auto spent = std::chrono::duration_cast<common::microseconds>(process.Now() - mArrivedAt);
   process.counters.Observe("bamboograde_request_seconds", spent);
   mContext.responseTimes.Add(mFacts.work, spent);
-  if (mFacts.onlyIfFree && !failed) {
-    mContext.usualTimes.Add(
-      UsualTimeKey(), std::chrono::duration_cast<common::microseconds>(process.Now() - mAttemptAt));
+  if (aAttempt.OnlyIfFree() && !failed) {
+    mContext.usualTimes.Add(UsualTimeKey(), std::chrono::duration_cast<common::microseconds>(
+                                              process.Now() - aAttempt.StartedAt()));
   }
   CompleteResponse(failed);
 }
@@ -470,10 +560,11 @@
   mRelay.OnEnd([this] { Release(); });
 }
 
-void entry_request::OnAttemptRefused(const request::attempt_refusal& aRefusal)
+void entry_request::OnRefused(entry_attempt& aAttempt, const request::attempt_refusal& aRefusal)
 {
   boost::intrusive_ptr<entry_request> self(this);
-  mAttempt.reset();
+  Remove(aAttempt, "refused");
+  bool othersGoOn = !mAttempts.empty();
   ++mRefusals;
   mLastRefusal = request::RefusalName(aRefusal.reason);
   mRetryAfter =
@@ -483,11 +574,18 @@
     // Sent to the same upstream again, the request could run while a late copy of this refusal is
     // taken for its response.
     bool mayRunUnnoticed = mFacts.key.has_value() && !mFacts.idempotent;
+    CountSent(aAttempt);
+    if (othersGoOn) {
+      mSearch.OnRefused(aAttempt.Target().vm);
+      return;
+    }
     if (mayRunUnnoticed || !TryTakeRetry()) {
       Reject("upstream_refused", kMinRetryAfter);
       return;
     }
   }
+  // A hedge that has not run leaves its retry to the next one.
+  mHoldsRetry = mHoldsRetry || (aAttempt.Hedge() && othersGoOn);
   bool searches = !mFacts.key.has_value() && mBody.Whole();
   bool overloadedOwner =
     mFacts.key.has_value() && aRefusal.reason == request::attempt_refusal_reason::kOverloaded;
@@ -497,22 +595,34 @@
                   aRefusal.reason != request::attempt_refusal_reason::kCrashSuspect &&
                   !overloadedOwner;
   if (!tryAgain) {
-    Reject(mLastRefusal.c_str(), std::max<common::microseconds>(mRetryAfter, kMinRetryAfter));
+    if (!othersGoOn) {
+      Reject(mLastRefusal.c_str(), std::max<common::microseconds>(mRetryAfter, kMinRetryAfter));
+    }
     return;
   }
   if (aRefusal.reason == request::attempt_refusal_reason::kBusy) {
-    mSearch.OnBusy(mTarget.vm, aRefusal.retryAfter, aRefusal.completion);
+    mSearch.OnBusy(aAttempt.Target().vm, aRefusal.retryAfter, aRefusal.completion);
   } else {
-    mSearch.OnRefused(mTarget.vm);
+    mSearch.OnRefused(aAttempt.Target().vm);
+  }
+  if (!othersGoOn) {
+    Place();
+  } else if (AllSilent() && TryTakeRetry()) {
+    PlaceHedge();
   }
-  Place();
 }
 
-void entry_request::OnAttemptFailed(const request::attempt_failure& aFailure)
+void entry_request::OnFailed(entry_attempt& aAttempt, const request::attempt_failure& aFailure)
 {
   boost::intrusive_ptr<entry_request> self(this);
-  mAttempt.reset();
-  if (mRelay.Sent()) {
+  CountSent(aAttempt);
+  mLastVm = aAttempt.Target().vm;
+  Remove(aAttempt, "failed");
+  bool responded = mResponder == &aAttempt;
+  if (responded) {
+    mResponder = nullptr;
+  }
+  if (responded && mRelay.Sent()) {
     mContext.process.counters.Add("bamboograde_cut_answers_total");
     mContext.process.log.Write(line_class::kTrouble, "answer_cut",
                                [&] { return Describe("aborted", aFailure.reason); });
@@ -520,52 +630,76 @@
     Release();
     return;
   }
-  if (!mHoldsFailedResponse) {
+  if (responded) {
     mRelay.Discard();
   }
   mEarlierAttemptMayHaveRun = true;
-  bool granted = mRetryGranted;
-  mRetryGranted = false;
-  if (mFacts.idempotent && !mOnTrial && (granted || TryTakeRetry())) {
+  if (!mAttempts.empty()) {
+    mSearch.OnRefused(aAttempt.Target().vm);
+    return;
+  }
+  if (mFacts.idempotent && !mOnTrial && TryTakeRetry()) {
     mContext.process.counters.Add("bamboograde_repeats_total");
     mContext.process.log.Write(line_class::kTrouble, "repeated",
                                [&] { return Describe("repeated", aFailure.reason); });
     mFacts.mapVersion = common::row_version();
-    RestartSearch(true);
+    RestartSearch(aAttempt, true);
     Place();
     return;
   }
   Fail(kBadGateway, aFailure.reason);
 }
 
-void entry_request::OnAttemptWritable()
+void entry_request::OnWritable(entry_attempt& aAttempt)
 {
-  mBody.Pump(*mAttempt);
+  mBody.Pump(*aAttempt.Running());
 }
 
-bool entry_request::OnAttemptUnresponsive()
+void entry_request::OnUnresponsive(entry_attempt& aAttempt, unsigned aFailedChecks)
 {
-  // Large responses delay the responses to pings on narrow links. A repeat would add to that load
-  // and break off a request at which its upstream is probably at work.
-  if (mFacts.bulk && !mUnresponsiveBefore) {
-    mUnresponsiveBefore = true;
-    return false;
+  // Large responses delay the responses to pings on narrow links, and a hedge would add to that
+  // load.
+  bool mayBeDelay = mFacts.bulk && aFailedChecks < kFailedChecksOfBulk;
+  // Only the owner of a key can serve its requests.
+  bool mayRepeat = mFacts.idempotent && !mFacts.key.has_value() && !mOnTrial && !mRelay.Started();
+  if (mayBeDelay || !mayRepeat || !AllSilent() || !TryTakeRetry()) {
+    return;
+  }
+  mContext.process.pool.CloseIdleConnections(aAttempt.Target().forward);
+  for (const entry_attempt_ptr& attempt : mAttempts) {
+    mSearch.OnRefused(attempt->Target().vm);
+  }
+  // Most daemons are heard again soon, so the first hedge must not displace other requests.
+  mSearch.Restart(aFailedChecks > 1);
+  if (PlaceHedge()) {
+    mContext.process.log.Write(line_class::kTrouble, "peer_unresponsive", [&] {
+      return DescribeAttempt(aAttempt, "hedged", "peer is silent");
+    });
   }
-  // Only the owner of a key can serve its requests, and a stopping daemon finishes its requests in
-  // flight.
-  mRetryGranted = !mContext.stopping && !mOnTrial && !mFacts.key.has_value() && !mRelay.Started() &&
-                  TryTakeRetry();
-  return mRetryGranted;
+}
+
+bool entry_request::AllSilent() const
+{
+  return std::all_of(mAttempts.begin(), mAttempts.end(), [this](const auto& aAttempt) {
+    return mContext.failureDetector.IsSilent(aAttempt->Target().vm);
+  });
+}
+
+bool entry_request::PlaceHedge()
+{
+  unsigned before = mHedges;
+  Place();
+  bool started = mHedges > before;
+  mHoldsRetry = mHoldsRetry || !started;
+  return started;
 }
 
 void entry_request::OnDeadline()
 {
   boost::intrusive_ptr<entry_request> self(this);
-  bool mayHaveRun = mAttempt != nullptr && mAttempt->MayHaveRun();
-  if (mAttempt != nullptr) {
-    mAttempt->Cancel();
-    mAttempt.reset();
-  }
+  bool mayHaveRun = std::any_of(mAttempts.begin(), mAttempts.end(),
+                                [](const auto& aAttempt) { return aAttempt->MayHaveRun(); });
+  AbandonOthers(nullptr, "deadline");
   if (mRelay.Sent()) {
     mExchange->Abort();
     Release();
@@ -641,6 +775,7 @@
   mContext.waitingForOwner.erase(this);
   mDeadline.Cancel();
   mRelay.Cancel();
+  AbandonOthers(nullptr, "ended");
   if (mSelf != nullptr) {
     mContext.process.loop.Defer([self = mSelf] {});
     mSelf.reset();
@@ -659,10 +794,13 @@
                         { "config", mConfigVersion.Value() },
                         { "outcome", aOutcome },
                         { "reason", aReason },
-                        { "upstream_vm", mTarget.vm },
+                        { "upstream_vm", mLastVm },
                         { "sent", mSent },
                         { "refusals", mRefusals },
                         { "spent_us", spent.count() } };
+  if (mHedges > 0) {
+    line["hedges"] = mHedges;
+  }
   if (mFacts.key.has_value()) {
     line["key"] = *mFacts.key;
     line["map"] = mFacts.mapVersion.Value();
@@ -670,4 +808,16 @@
   return line;
 }
 
+common::json entry_request::DescribeAttempt(const entry_attempt& aAttempt, const char* aOutcome,
+                                            const char* aReason) const
+{
+  const std::string& vm = aAttempt.Target().vm;
+  common::json line = Describe(aOutcome, aReason);
+  line["upstream_vm"] = vm;
+  line["hedge"] = aAttempt.Hedge();
+  line["attempt_us"] = (mContext.process.Now() - aAttempt.StartedAt()).count();
+  line["silent_us"] = mContext.failureDetector.SilentFor(vm).count();
+  return line;
+}
+
 } // namespace bamboograde::process::sidecar
--- a/src/process/sidecar/entry_request.h
+++ b/src/process/sidecar/entry_request.h
@@ -1,6 +1,7 @@
 // A request of a caller on this VM, from its arrival to its response.
 #pragma once
 
+#include "process/sidecar/entry_attempt.h"
 #include "process/sidecar/failure_detector.h"
 #include "process/sidecar/local_attempt.h"
 #include "process/sidecar/request_body.h"
@@ -40,7 +41,7 @@
 class entry_request
   : public boost::intrusive_ref_counter<entry_request, boost::thread_unsafe_counter>
   , private connection::http::exchange_observer
-  , private request::attempt_observer
+  , private entry_attempt_observer
 {
 public:
   static void Handle(entry_context& aContext,
@@ -67,10 +68,24 @@
   std::string UsualTimeKey() const { return mFacts.service.Str() + ' ' + mFacts.work; }
   void StartAttempt(const version::member& aTarget);
   void WaitForOwner();
+  // Takes the attempt out of those in flight.
+  void Remove(entry_attempt& aAttempt, const char* aHedgeResult);
+  // Cancels an attempt in flight.
+  void Abandon(entry_attempt& aAttempt, const char* aReason);
+  // Abandons the attempts in flight except aAttempt, which may be null.
+  void AbandonOthers(const entry_attempt* aAttempt, const char* aReason);
+  // Counts an attempt that may have reached an upstream.
+  void CountSent(entry_attempt& aAttempt);
+  // Takes a retry from the budget, beside the attempts in flight. Returns whether there may be one.
   bool TryTakeRetry();
-  // Restarts the search for an upstream, excluding the last target. aMayWait: also considers
-  // upstreams without a free slot.
-  void RestartSearch(bool aMayWait);
+  // Whether no daemon of the attempts in flight responds to pings.
+  bool AllSilent() const;
+  // Starts another attempt beside those in flight, for which a retry was taken. Returns whether a
+  // gate was found.
+  bool PlaceHedge();
+  // Restarts the search for an upstream, excluding the target of the last attempt. aMayWait: also
+  // considers upstreams without a free slot.
+  void RestartSearch(const entry_attempt& aLast, bool aMayWait);
   // Completes the response to the caller with the upstream's response. aFailed: the upstream
   // returned a server error.
   void CompleteResponse(bool aFailed);
@@ -83,30 +98,36 @@
   void Respond(int aStatus, connection::http::response_head aHead);
   void Release();
   common::json Describe(const char* aOutcome, const std::string& aReason) const;
+  // Also describes one attempt, with the time since data last came from its daemon.
+  common::json DescribeAttempt(const entry_attempt& aAttempt, const char* aOutcome,
+                               const char* aReason) const;
 
   // exchange_observer
   void OnRequestBody() override;
   void OnCallerDisconnected() override;
   void OnResponseWritable() override;
-  // attempt_observer
-  void OnAttemptHead(connection::http::response_head& aHead) override;
-  void OnAttemptBody(std::string_view aBytes) override;
-  void OnAttemptEnd() override;
-  void OnAttemptRefused(const request::attempt_refusal& aRefusal) override;
-  void OnAttemptFailed(const request::attempt_failure& aFailure) override;
-  void OnAttemptWritable() override;
-  bool OnAttemptUnresponsive() override;
+  // entry_attempt_observer
+  void OnHead(entry_attempt& aAttempt, connection::http::response_head& aHead) override;
+  void OnBody(entry_attempt& aAttempt, std::string_view aBytes) override;
+  void OnEnd(entry_attempt& aAttempt) override;
+  void OnRefused(entry_attempt& aAttempt, const request::attempt_refusal& aRefusal) override;
+  void OnFailed(entry_attempt& aAttempt, const request::attempt_failure& aFailure) override;
+  void OnWritable(entry_attempt& aAttempt) override;
+  // The request is hedged: tried elsewhere as well, where it may be repeated. A silent daemon is
+  // seldom lost, so its attempt is abandoned only when another one has responded.
+  void OnUnresponsive(entry_attempt& aAttempt, unsigned aFailedChecks) override;
 
   entry_context& mContext;
   connection::http::server_exchange_ptr mExchange;
   request_body mBody;
   response_relay mRelay;
-  request::attempt_ptr mAttempt;
+  // Those in flight; more than one while the request is hedged.
+  std::vector<entry_attempt_ptr> mAttempts;
+  // The attempt in flight whose response the relay holds; null if there is none.
+  const entry_attempt* mResponder = nullptr;
   request::request_facts mFacts;
   connection::http::loop_timer mDeadline;
   common::boot_time mArrivedAt;
-  // Start of the latest attempt.
-  common::boot_time mAttemptAt;
   version::config_version mConfigVersion;
   unsigned mMaxAttempts = 1;
   // Attempts that have reached an upstream, or may have.
@@ -115,9 +136,11 @@
   bool mEarlierAttemptMayHaveRun = false;
   // Attempts that were refused without running the request.
   unsigned mRefusals = 0;
+  // Attempts that were started beside others in flight.
+  unsigned mHedges = 0;
   request::placement_search mSearch;
-  // The member to which the request was last sent, as it was then.
-  version::member mTarget;
+  // Where the request was last sent.
+  std::string mLastVm;
   std::string mLastRefusal;
   common::microseconds mRetryAfter{ 0 };
   bool mBodyTaken = false;
@@ -125,10 +148,8 @@
   bool mOnTrial = false;
   // The relay holds the server error of an upstream, to be returned if no retry gets a response.
   bool mHoldsFailedResponse = false;
-  // The daemon of the present attempt has failed a health check.
-  bool mUnresponsiveBefore = false;
-  // A retry was taken from the budget before the attempt ended.
-  bool mRetryGranted = false;
+  // A retry was taken from the budget for a hedge that was not sent, or has not run.
+  bool mHoldsRetry = false;
   boost::intrusive_ptr<entry_request> mSelf;
 };
 
--- a/src/process/sidecar/failure_detector.cpp
+++ b/src/process/sidecar/failure_detector.cpp
@@ -35,6 +35,7 @@
 {
   peer_state& peer = mPeers[aVm];
   peer.heardAt = mRuntime.Now();
+  peer.failedChecks = 0;
   if (peer.silent) {
     peer.silent = false;
     mPlacement.OnSuccess(aVm);
@@ -51,10 +52,27 @@
 
 void failure_detector::OnUnreachable(const version::member& aPeer)
 {
-  mPeers[aPeer.vm].control = aPeer.control;
+  peer_state& peer = mPeers[aPeer.vm];
+  peer.control = aPeer.control;
+  if (peer.silent) {
+    mPlacement.OnFailure(aPeer.vm, mRuntime.Now());
+    return;
+  }
   OnSilence(aPeer.vm);
 }
 
+bool failure_detector::IsSilent(const std::string& aVm) const
+{
+  auto found = mPeers.find(aVm);
+  return found != mPeers.end() && found->second.silent;
+}
+
+common::microseconds failure_detector::SilentFor(const std::string& aVm) const
+{
+  auto found = mPeers.find(aVm);
+  return found == mPeers.end() ? common::microseconds(0) : mRuntime.Now() - found->second.heardAt;
+}
+
 void failure_detector::Tick()
 {
   common::boot_time now = mRuntime.Now();
@@ -95,12 +113,13 @@
     });
   }
   peer.silent = true;
+  ++peer.failedChecks;
   mPlacement.OnFailure(aVm, mRuntime.Now());
-  // OnPeerSilent() may end requests of any client, which removes that client from peer.clients.
+  // OnPeerSilent() may remove clients.
   std::vector<failure_observer*> clients(peer.clients.begin(), peer.clients.end());
   for (failure_observer* client : clients) {
     if (peer.clients.count(client) > 0) {
-      client->OnPeerSilent();
+      client->OnPeerSilent(peer.failedChecks);
     }
   }
 }
--- a/src/process/sidecar/failure_detector.h
+++ b/src/process/sidecar/failure_detector.h
@@ -1,9 +1,11 @@
 // Failure detector for daemons with pending requests: frozen, partitioned or powered off.
 //
 // A daemon with pending requests that has sent nothing for a while is pinged at its control
-// address. Without a response, or if it accepts no connection, placement avoids it and idempotent
-// requests are retried elsewhere. It is pinged until it responds, so that no request is needed to
-// probe it.
+// address. Without a response, or if it accepts no connection, placement avoids it and its pending
+// requests are told. It is pinged until it responds, so that no request is needed to probe it.
+//
+// Most silent daemons are at work, behind a full link or short of processor time, so silence ends
+// no request.
 #pragma once
 
 #include "process/sidecar/local_health.h"
@@ -21,8 +23,9 @@
 {
 public:
   virtual ~failure_observer() = default;
-  // The peer accepts no connection or does not respond to pings; a response is unlikely.
-  virtual void OnPeerSilent() = 0;
+  // The peer accepts no connection or has not responded to a ping, which makes that many failed
+  // checks since it was last heard. Repeated at each failed ping.
+  virtual void OnPeerSilent(unsigned aFailedChecks) = 0;
 };
 
 class failure_detector
@@ -35,6 +38,10 @@
   void OnEnded(const std::string& aVm, failure_observer* aClient);
   // The daemon accepts no connection; it is avoided until it responds to a ping.
   void OnUnreachable(const version::member& aPeer);
+  bool IsSilent(const std::string& aVm) const;
+  // Time since the head of a response or the response to a ping last arrived from the daemon, or
+  // since the first pending request was sent; 0 if nothing is known of it.
+  common::microseconds SilentFor(const std::string& aVm) const;
   // Must be called every few tens of milliseconds.
   void Tick();
 
@@ -48,6 +55,8 @@
     common::boot_time nextPingAt;
     bool pingInFlight = false;
     bool silent = false;
+    // Since it was last heard.
+    unsigned failedChecks = 0;
   };
 
   void Ping(const std::string& aVm, peer_state& aPeer);
--- a/src/process/sidecar/remote_attempt.cpp
+++ b/src/process/sidecar/remote_attempt.cpp
@@ -116,19 +116,12 @@
   }
 }
 
-void remote_attempt::OnPeerSilent()
+void remote_attempt::OnPeerSilent(unsigned aFailedChecks)
 {
   request::attempt_ptr self(this);
-  // An attempt at a request that is not idempotent keeps waiting for its response.
-  bool abandoned =
-    mFacts.idempotent && !mResponded && mObserver != nullptr && mObserver->OnAttemptUnresponsive();
-  if (!abandoned) {
-    return;
+  if (!mResponded && mObserver != nullptr) {
+    mObserver->OnAttemptUnresponsive(aFailedChecks);
   }
-  auto* observer = DetachObserver();
-  Cancel();
-  mRuntime.pool.CloseIdleConnections(mTarget.forward);
-  observer->OnAttemptFailed({ "peer is silent" });
 }
 
 void remote_attempt::Cancel()
@@ -156,6 +149,20 @@
   }
 }
 
+void remote_attempt::PauseResponse()
+{
+  if (mCall != nullptr) {
+    mCall->PauseResponse();
+  }
+}
+
+void remote_attempt::ResumeResponse()
+{
+  if (mCall != nullptr) {
+    mCall->ResumeResponse();
+  }
+}
+
 void remote_attempt::OnCallWritable()
 {
   if (mObserver != nullptr) {
--- a/src/process/sidecar/remote_attempt.h
+++ b/src/process/sidecar/remote_attempt.h
@@ -23,8 +23,8 @@
   void SendBody(std::string_view aBytes) override { mCall->SendBody(aBytes); }
   void FinishBody() override { mCall->FinishBody(); }
   bool Congested() const override { return mCall->Congested(); }
-  void PauseResponse() override { mCall->PauseResponse(); }
-  void ResumeResponse() override { mCall->ResumeResponse(); }
+  void PauseResponse() override;
+  void ResumeResponse() override;
   void Cancel() override;
   bool MayHaveRun() const override { return mCall != nullptr && mCall->MayHaveBeenSent(); }
 
@@ -36,7 +36,7 @@
   void OnCallFailed(const connection::http::call_error& aError) override;
   void OnCallWritable() override;
   // failure_observer
-  void OnPeerSilent() override;
+  void OnPeerSilent(unsigned aFailedChecks) override;
 
   void StopTracking();
   request::attempt_observer* DetachObserver();
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -99,10 +99,9 @@
   virtual void OnAttemptFailed(const attempt_failure& aFailure) = 0;
   // More of the request's body may be sent.
   virtual void OnAttemptWritable() {}
-  // The remote daemon fails its health check. Returns true when the request is retried at another
-  // upstream, so that this attempt should end as failed; false when this attempt should continue to
-  // wait.
-  virtual bool OnAttemptUnresponsive() { return false; }
+  // The remote daemon has failed that many health checks since it was last heard. The attempt goes
+  // on.
+  virtual void OnAttemptUnresponsive(unsigned aFailedChecks) {}
 };
 
 class attempt : public boost::intrusive_ref_counter<attempt, boost::thread_unsafe_counter>
--- a/tests/platform/silent_peer_test.cpp
+++ b/tests/platform/silent_peer_test.cpp
@@ -46,8 +46,7 @@
 
 } // namespace
 
-// The attempt was cancelled before it was known that no other upstream takes the request, and the
-// caller got 502 although the upstream was at work.
+// Silence of a daemon ended requests at which its upstream was at work.
 Test(silent_peer, a_request_is_not_given_up_without_another_slot)
 {
   for (const char* method : { "GET", "POST" }) {
@@ -114,7 +113,7 @@
     fleet.vms[silent]->ResumeDaemon();
     fleet.RunUntil([&pending] { return pending->done; }, common::milliseconds(2000), "a response");
     cr_expect_eq(pending->response.status, 200, "status %d", pending->response.status);
-    cr_expect_leq(fleet.record.runs[id], 2U);
+    cr_expect_eq(fleet.record.runs[id], 2U, "%u runs", fleet.record.runs[id]);
     // The daemon goes on serving.
     cr_expect_eq(fleet.SendRequest(kEntry, "GET", "/plain/x").status, 200);
   }
@@ -157,14 +156,55 @@
     bool safe = method[0] == 'G';
     fleet_fixture fleet({ "keyed", "plain", "plain" });
     WaitForKeys(fleet);
+    fleet.vms[1]->upstream->SetWork(kWork);
+    fleet.vms[2]->upstream->SetWork(kWork);
     auto pending = StartRunning(fleet, method, safe ? "/plain/x" : "/book/x");
     fleet.vms[BusiestVm(fleet)]->KillDaemon();
+    fleet.vms[1]->upstream->SetWork(common::milliseconds(0));
+    fleet.vms[2]->upstream->SetWork(common::milliseconds(0));
     fleet.RunUntil([&pending] { return pending->done; }, kMaxTime, "the end of the request");
     cr_expect_eq(pending->response.status, safe ? 200 : 502, "%s: status %d", method,
                  pending->response.status);
   }
 }
 
+// The attempt at the silent daemon goes on until another one has a whole response.
+Test(silent_peer, a_broken_or_failed_response_elsewhere_does_not_end_a_request)
+{
+  for (bool broken : { false, true }) {
+    fleet_fixture fleet({ "keyed", "plain", "plain" });
+    WaitForKeys(fleet);
+    fleet.vms[1]->upstream->SetWork(2 * kWork);
+    fleet.vms[2]->upstream->SetWork(2 * kWork);
+    auto pending = StartRunning(fleet, "GET", "/plain/x");
+    std::string id = fleet.LastRequestId();
+    size_t silent = BusiestVm(fleet);
+    size_t other = silent == 1 ? 2 : 1;
+    unsigned responses = 0;
+    if (broken) {
+      fleet.vms[other]->upstream->RespondRaw([&responses](const std::string& aId, unsigned) {
+        ++responses;
+        return tests::raw_reply{ "HTTP/1.1 200 OK\r\nX-Bamboograde-Request-Id: " + aId +
+                                   "\r\nX-Bamboograde-Server-Stamp: s\r\nContent-Length: 100"
+                                   "\r\n\r\nbroken",
+                                 tests::raw_reply::ending::kClose };
+      });
+    } else {
+      fleet.vms[other]->upstream->SetWork(common::milliseconds(0));
+      fleet.vms[other]->upstream->FailRequests(1);
+    }
+    fleet.vms[silent]->PauseDaemon();
+    fleet.RunFor(kSilence);
+    cr_expect_not(pending->done, "broken %d: status %d", int(broken), pending->response.status);
+    cr_expect(broken ? responses == 1 : fleet.record.runs[id] == 2, "broken %d: no hedge",
+              int(broken));
+    fleet.vms[silent]->ResumeDaemon();
+    fleet.RunUntil([&pending] { return pending->done; }, common::milliseconds(1500), "a response");
+    cr_expect_eq(pending->response.status, 200, "broken %d: status %d", int(broken),
+                 pending->response.status);
+  }
+}
+
 // The response to a ping waited behind large responses, so the daemon was taken for silent.
 Test(silent_peer, a_request_is_not_given_up_behind_a_full_link)
 {
